--- /dev/null
+++ b/cmd/firwood/main.go
@@ -0,0 +1,272 @@
+// Command firwood is the cluster scheduler: one program for every controller,
+// and the tools that operators use against it.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"firwood.dev/firwood/internal/client"
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/config"
+	"firwood.dev/firwood/internal/core"
+	"firwood.dev/firwood/internal/http1"
+	"firwood.dev/firwood/internal/server"
+	"firwood.dev/firwood/wire"
+)
+
+// version is set by release builds.
+var version = "0.1.0-dev"
+
+func main() {
+	if err := root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "firwood:", strings.ReplaceAll(err.Error(), "\n", "; "))
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	var configPath, settingsPath string
+	r := &cobra.Command{
+		Use:           "firwood",
+		Short:         "A cluster scheduler: smallest need first, on rented machines",
+		Long:          "firwood runs users' jobs on machines that it rents from a cloud.\nWith --config alone it serves, as `firwood serve` does.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if configPath == "" {
+				return cmd.Help()
+			}
+			return serve(configPath, settingsPath)
+		},
+	}
+	addSettings := func(c *cobra.Command) {
+		c.Flags().StringVar(&configPath, "config", "", "the platform's settings `FILE` (JSON)")
+		c.Flags().StringVar(&settingsPath, "settings", os.Getenv("FIRWOOD_SETTINGS"), "the operators' settings `FILE` (YAML; also FIRWOOD_SETTINGS)")
+	}
+	addSettings(r)
+
+	s := &cobra.Command{
+		Use: "serve", Short: "Run a controller", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return serve(configPath, settingsPath) },
+	}
+	k := &cobra.Command{
+		Use: "check", Short: "Check settings files without serving", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if configPath == "" && settingsPath == "" {
+				return errors.New("check: give --config, --settings or both")
+			}
+			if configPath != "" {
+				p, err := config.LoadPlatform(configPath)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: good: member %s of %d, %d teams\n", configPath, p.Member, len(p.Others)+1, len(p.Deployment.Teams))
+			}
+			if settingsPath != "" {
+				if _, err := config.LoadTuning(settingsPath); err != nil {
+					return err
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: good\n", settingsPath)
+			}
+			return nil
+		},
+	}
+	for _, c := range []*cobra.Command{s, k} {
+		addSettings(c)
+	}
+	r.AddCommand(s, k, jobCommand(), reportCommand(), &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "firwood", version) },
+	})
+	return r
+}
+
+func logger() (*slog.Logger, error) {
+	level := slog.LevelInfo
+	switch v := os.Getenv("LOG_LEVEL"); v {
+	case "", "info":
+	case "error":
+		level = slog.LevelError
+	case "debug":
+		level = slog.LevelDebug
+	default:
+		return nil, fmt.Errorf("LOG_LEVEL: %q is not error, info or debug", v)
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})), nil
+}
+
+func serve(configPath, settingsPath string) error {
+	if configPath == "" {
+		return errors.New("serve: --config is missing")
+	}
+	p, err := config.LoadPlatform(configPath)
+	if err != nil {
+		return err
+	}
+	t, err := config.LoadTuning(settingsPath)
+	if err != nil {
+		return err
+	}
+	log, err := logger()
+	if err != nil {
+		return err
+	}
+	limits := p.Deployment.Limits
+	// The collector has to give way before the platform ends the process.
+	debug.SetMemoryLimit(int64(limits.RAMMB * 0.6 * (1 << 20)))
+	debug.SetGCPercent(300)
+	runtime.GOMAXPROCS(2)
+
+	log = log.With("member", p.Member)
+	c := core.New(p, t, log)
+	srv := server.New(server.Config{
+		Serve: p.Serve, Peer: p.PeerBind, MaxConns: inbound(limits.MaxSockets),
+		Idle: 90 * clock.Second, Half: 10 * clock.Second,
+	}, c, log)
+	log.Info("serving", "version", version, "address", p.Serve)
+
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Run() }()
+	go c.Run()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case err := <-failed:
+		return err
+	case <-stop:
+		c.Close()
+		return nil
+	}
+}
+
+// inbound is the part of the socket limit that incoming connections may take;
+// the rest is kept for the outside services, peers and workers.
+func inbound(limit int) int { return max(limit*3/4-16, limit/2) }
+
+// call makes one request of a controller.
+func call(node, method, target string, body []byte) (*http1.Message, error) {
+	if _, err := netip.ParseAddrPort(node); err != nil {
+		return nil, fmt.Errorf("--node: %q is not IP:port", node)
+	}
+	h := client.NewHost(node, 0, 4<<20)
+	defer h.Close()
+	return h.Do(client.Request{Method: method, Target: target, Body: body, Timeout: 10 * clock.Second})
+}
+
+func show(out io.Writer, m *http1.Message) error {
+	if m.Status/100 != 2 {
+		var e wire.ErrorBody
+		if err := e.UnmarshalJSON(m.Body); err == nil && e.Error != "" {
+			return fmt.Errorf("the controller answered %d: %s", m.Status, e.Error)
+		}
+		return fmt.Errorf("the controller answered %d", m.Status)
+	}
+	var s wire.JobStatus
+	if err := s.UnmarshalJSON(m.Body); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s %s", s.ID, s.State)
+	if s.Done != nil && s.Running != nil {
+		fmt.Fprintf(out, " done=%d running=%d", *s.Done, *s.Running)
+	}
+	fmt.Fprintln(out)
+	return nil
+}
+
+func jobCommand() *cobra.Command {
+	var node string
+	j := &cobra.Command{Use: "job", Short: "Submit, show and withdraw jobs"}
+	j.PersistentFlags().StringVar(&node, "node", "127.0.0.1:8080", "a controller's `IP:PORT`")
+	simple := func(use, short, method, suffix string) *cobra.Command {
+		return &cobra.Command{
+			Use: use, Short: short, Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				if !wire.ValidJobID(args[0]) {
+					return fmt.Errorf("%q has not the form of a job id", args[0])
+				}
+				m, err := call(node, method, "/api/jobs/"+args[0]+suffix, nil)
+				if err != nil {
+					return err
+				}
+				return show(cmd.OutOrStdout(), m)
+			},
+		}
+	}
+	j.AddCommand(
+		&cobra.Command{
+			Use: "submit FILE", Short: "Submit the job described in a JSON file, - for standard input", Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				var b []byte
+				var err error
+				if args[0] == "-" {
+					b, err = io.ReadAll(io.LimitReader(cmd.InOrStdin(), wire.MaxBody+1))
+				} else {
+					b, err = os.ReadFile(args[0])
+				}
+				if err != nil {
+					return err
+				}
+				if _, err := wire.DecodeJob(b); err != nil {
+					return fmt.Errorf("%s: %w", args[0], err)
+				}
+				m, err := call(node, "POST", "/api/jobs", b)
+				if err != nil {
+					return err
+				}
+				return show(cmd.OutOrStdout(), m)
+			},
+		},
+		simple("show ID", "Show a job's state", "GET", ""),
+		simple("withdraw ID", "Withdraw a job", "POST", "/withdraw"),
+	)
+	return j
+}
+
+func reportCommand() *cobra.Command {
+	var node string
+	c := &cobra.Command{
+		Use: "report", Short: "Print what failed or ran late, and why", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			m, err := call(node, "GET", "/ops/v1/report", nil)
+			if err != nil {
+				return err
+			}
+			if m.Status != 200 {
+				return fmt.Errorf("the controller answered %d", m.Status)
+			}
+			var r core.MorningReport
+			if err := json.Unmarshal(m.Body, &r); err != nil {
+				return err
+			}
+			out := cmd.OutOrStdout()
+			fmt.Fprintf(out, "%d jobs: %d done, %d withdrawn, %d active\n", r.Jobs, r.Done, r.Aborted, r.Active)
+			if len(r.Troubles) == 0 {
+				fmt.Fprintln(out, "nothing failed or ran late")
+				return nil
+			}
+			w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+			fmt.Fprintln(w, "JOB\tCLASS\tSTATE\tLATE BY\tTOOK\tWAITED\tERRORS\tRESTARTS\tWHY")
+			for _, t := range r.Troubles {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%.1fs\t%.1fs\t%.1fs\t%d\t%d\t%s\n", t.Job, t.Class, t.State, t.LateByS, t.TookS, t.WaitedS, t.Errors, t.Restarts, t.Why)
+			}
+			return w.Flush()
+		},
+	}
+	c.Flags().StringVar(&node, "node", "127.0.0.1:8080", "a controller's `IP:PORT`")
+	return c
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,216 @@
+// Package client owns outgoing HTTP: keep-alive connections, time limits, and
+// the rate budgets that keep this process under the limits of the services it
+// calls.
+package client
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/http1"
+)
+
+// ErrLate tells that a request was not sent because its sender was no longer
+// entitled to send it.
+var ErrLate = errors.New("client: the time to send has passed")
+
+// SendError tells that the request certainly did not reach the other side.
+type SendError struct{ Err error }
+
+func (e *SendError) Error() string { return "client: not sent: " + e.Err.Error() }
+func (e *SendError) Unwrap() error { return e.Err }
+
+// Host is one place that is called, with its idle connections.
+type Host struct {
+	addr   string
+	limits http1.Limits
+
+	mu   sync.Mutex
+	idle []*conn
+	most int
+}
+
+type conn struct {
+	c      net.Conn
+	parser *http1.Parser
+	used   clock.Micros
+}
+
+// idleFor bounds how long a connection may lie unused: after a cut an old one
+// may be dead without saying so.
+const idleFor = 20 * clock.Second
+
+// NewHost makes a place to call; at most `most` idle connections are kept.
+func NewHost(addr string, most, maxBody int) *Host {
+	l := http1.DefaultLimits
+	l.Body = maxBody
+	return &Host{addr: addr, limits: l, most: most}
+}
+
+// Close drops the idle connections.
+func (h *Host) Close() {
+	h.mu.Lock()
+	idle := h.idle
+	h.idle = nil
+	h.mu.Unlock()
+	for _, c := range idle {
+		c.c.Close()
+	}
+}
+
+func (h *Host) take(now clock.Micros) *conn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for len(h.idle) > 0 {
+		c := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		if now-c.used < idleFor {
+			return c
+		}
+		c.c.Close()
+	}
+	return nil
+}
+
+func (h *Host) give(c *conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.idle) >= h.most {
+		c.c.Close()
+		return
+	}
+	c.used = clock.Now()
+	h.idle = append(h.idle, c)
+}
+
+// Request is one call.
+type Request struct {
+	Method, Target string
+	Body           []byte
+	Timeout        clock.Micros
+	// Until, if not 0, is the last instant at which the request may be sent.
+	Until clock.Micros
+	// Fresh asks for a new connection.
+	Fresh bool
+}
+
+// Do sends the request and waits for its answer. An error that is not a
+// *SendError or ErrLate leaves open whether the request was carried out.
+func (h *Host) Do(r Request) (*http1.Message, error) {
+	deadline := time.Now().Add(r.Timeout.Duration())
+	var c *conn
+	if !r.Fresh {
+		c = h.take(clock.Now())
+	}
+	if c == nil {
+		nc, err := net.DialTimeout("tcp4", h.addr, r.Timeout.Duration())
+		if err != nil {
+			return nil, &SendError{err}
+		}
+		c = &conn{c: nc, parser: http1.NewResponseParser(h.limits)}
+	}
+	m, err := c.roundTrip(h.addr, r, deadline)
+	if err != nil || m.Close {
+		c.c.Close()
+		return m, err
+	}
+	h.give(c)
+	return m, nil
+}
+
+func (c *conn) roundTrip(host string, r Request, deadline time.Time) (*http1.Message, error) {
+	if err := c.c.SetDeadline(deadline); err != nil {
+		return nil, &SendError{err}
+	}
+	out := http1.AppendRequest(make([]byte, 0, 160+len(r.Body)), r.Method, r.Target, host, r.Body)
+	// The check comes last before the write: a process that was paused between
+	// the decision and this line must not act on an entitlement that is over.
+	if r.Until != 0 && clock.Now() >= r.Until {
+		return nil, ErrLate
+	}
+	if _, err := c.c.Write(out); err != nil {
+		return nil, err
+	}
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	for {
+		m, err := c.parser.Next()
+		if err != nil || m != nil {
+			return m, err
+		}
+		n, err := c.c.Read(*buf)
+		if n > 0 {
+			c.parser.Feed((*buf)[:n])
+			continue
+		}
+		if err != nil {
+			if m, perr := c.parser.End(); m != nil && perr == nil {
+				return m, nil
+			}
+			return nil, err
+		}
+	}
+}
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, 8<<10); return &b }}
+
+// Budget is a token bucket in which callers wait their turn.
+type Budget struct {
+	mu   sync.Mutex
+	rate float64 // a second
+	most float64
+	have float64
+	last clock.Micros
+}
+
+// NewBudget allows rate a second with bursts of `burst`.
+func NewBudget(rate, burst float64) *Budget {
+	return &Budget{rate: rate, most: burst, have: burst, last: clock.Now()}
+}
+
+// SetRate changes the allowance, as when the leader changes.
+func (b *Budget) SetRate(rate, burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(clock.Now())
+	b.rate, b.most = rate, burst
+	b.have = min(b.have, burst)
+}
+
+func (b *Budget) refill(now clock.Micros) {
+	if now > b.last {
+		b.have = min(b.most, b.have+b.rate*(now-b.last).Seconds())
+		b.last = now
+	}
+}
+
+// Take books n and returns how long to wait until they may be used.
+func (b *Budget) Take(n float64) clock.Micros {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(clock.Now())
+	b.have -= n
+	if b.have >= 0 {
+		return 0
+	}
+	return clock.FromSeconds(-b.have / b.rate)
+}
+
+// Wait books n and sleeps until they may be used.
+func (b *Budget) Wait(n float64) {
+	if d := b.Take(n); d > 0 {
+		time.Sleep(d.Duration())
+	}
+}
+
+// Drain empties the bucket: the service has said that it is being asked too
+// often, so what this side believed it had was wrong.
+func (b *Budget) Drain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(clock.Now())
+	b.have = min(b.have, 0)
+}
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,42 @@
+// Package clock owns the two clocks a process reads: the steady one, by which
+// leases and timers are reckoned, and the time of day, by which deadlines of
+// jobs are. Both are whole microseconds.
+package clock
+
+import "time"
+
+// Micros is a duration or an instant in whole microseconds.
+type Micros int64
+
+// Units of Micros.
+const (
+	Millisecond Micros = 1000
+	Second      Micros = 1000 * Millisecond
+)
+
+var start = time.Now()
+
+// Now reads the steady clock. Its zero lies one second before the start of the
+// process, so that a zero instant always means "never".
+func Now() Micros { return Micros(time.Since(start).Microseconds()) + Second }
+
+// Wall reads the time of day, in microseconds since 1970.
+func Wall() Micros { return Micros(time.Now().UnixMicro()) }
+
+// FromSeconds rounds an amount of seconds, as the wire carries it.
+func FromSeconds(s float64) Micros {
+	const most = 1e12
+	if s != s || s <= 0 {
+		return 0
+	}
+	if s > most {
+		s = most
+	}
+	return Micros(s*1e6 + 0.5)
+}
+
+// Seconds is the amount as the wire carries it.
+func (m Micros) Seconds() float64 { return float64(m) / 1e6 }
+
+// Duration converts to the standard library's type.
+func (m Micros) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,324 @@
+// Package core owns all state of a process: one goroutine works through a
+// queue of commands in batches. It wires the pure parts (election, ledger,
+// planner) to the outside: what they decide is sent from here, and every
+// answer comes back here as a command.
+package core
+
+import (
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/cloud"
+	"firwood.dev/firwood/internal/config"
+	"firwood.dev/firwood/internal/election"
+	"firwood.dev/firwood/internal/ledger"
+	"firwood.dev/firwood/internal/peer"
+	"firwood.dev/firwood/internal/server"
+	"firwood.dev/firwood/internal/state"
+	"firwood.dev/firwood/wire"
+)
+
+// Core is the owner. Its fields belong to the goroutine of Run, but for those
+// that are made once.
+type Core struct {
+	cfg    *config.Platform
+	tuning config.Tuning
+	log    *slog.Logger
+	q      *queue
+	store  *state.Client
+	cloud  *cloud.Client
+	links  []*peer.Link
+	teams  map[string]ledger.Team
+
+	view  view
+	el    *election.Machine
+	beats map[string]*beatSeen
+	lead  *lead // nil unless leader and rebuilt
+	// rebuilding: the lock is ours, the view is not yet as new as the token.
+	rebuilding bool
+
+	types     []wire.MachineType
+	typesBusy bool
+	typesAt   clock.Micros
+
+	submitting map[string][]*server.Reply
+	counts     map[string]peer.Count // progress of jobs as the leader last told
+	workers    map[string]clock.Micros
+	nextBeat   clock.Micros
+	unfit      atomic.Bool // users should not be sent here
+
+}
+
+// New makes the owner; nothing runs before Run.
+func New(cfg *config.Platform, tuning config.Tuning, log *slog.Logger) *Core {
+	d := &cfg.Deployment
+	ttl := clock.FromSeconds(tuning.LeaderTTLS)
+	if ttl == 0 {
+		// Lock expiry, election and the first answered report must all be
+		// inside a worker's lease: a third of it, within 3 to 10 seconds.
+		ttl = min(max(clock.FromSeconds(d.Workers.LeaseS)/3, 3*clock.Second), 10*clock.Second)
+	}
+	c := &Core{
+		cfg: cfg, tuning: tuning, log: log, q: newQueue(),
+		store: state.New(cfg.Outside.State, state.Limits{
+			RPS: d.State.RPS, WriteRPS: d.State.WriteRPS, TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
+		}, keyLock),
+		cloud:      cloud.New(cfg.Outside.Cloud, d.Cloud.RPS),
+		teams:      map[string]ledger.Team{},
+		el:         election.New(election.Config{Member: cfg.Member, TTL: ttl, Slack: 50 * clock.Millisecond}),
+		beats:      map[string]*beatSeen{},
+		submitting: map[string][]*server.Reply{},
+		counts:     map[string]peer.Count{},
+		workers:    map[string]clock.Micros{},
+	}
+	for _, t := range d.Teams {
+		g := ledger.FromAmounts(t.CPUs, t.GPUs, 0)
+		m := ledger.FromAmounts(t.CPUsMax, t.GPUsMax, 0)
+		c.teams[t.Name] = ledger.Team{CPU: g.CPU, GPU: g.GPU, CPUMax: m.CPU, GPUMax: m.GPU}
+	}
+	c.view.init()
+	return c
+}
+
+// post hands a result of this process's own calls to the owner.
+func (c *Core) post(f func()) { c.q.post(rankDecision, f) }
+
+const tickEvery = 50 * time.Millisecond
+
+// Run works until the process ends.
+func (c *Core) Run() {
+	for _, o := range c.cfg.Others {
+		c.links = append(c.links, peer.NewLink(o.Address))
+	}
+	c.applyShares()
+	c.load()
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.q.wake:
+		case <-t.C:
+		}
+		for _, f := range c.q.take() {
+			f()
+		}
+		c.tick()
+	}
+}
+
+func (c *Core) tick() {
+	now := clock.Now()
+	c.view.expireWaiters(now)
+	c.startSync()
+	c.act(c.el.Tick(now))
+	c.fetchTypes(now)
+	if c.lead != nil {
+		if c.el.Phase() != election.Leader {
+			c.stepDown("the lock is lost")
+		} else {
+			c.lead.tick(now)
+		}
+	}
+	c.beat(now)
+}
+
+// entitled tells whether this process may act for the controllers now.
+func (c *Core) entitled() bool { return c.el.Entitled(clock.Now()) }
+
+// applyShares splits the outside services' rates: the leader gets half, the
+// others share the rest.
+func (c *Core) applyShares() {
+	n := float64(len(c.cfg.Others))
+	switch {
+	case n == 0:
+		c.store.SetShare(1)
+		c.cloud.SetShare(1)
+	case c.el.Phase() == election.Leader:
+		c.store.SetShare(0.5)
+		c.cloud.SetShare(0.8)
+	default:
+		c.store.SetShare(0.5 / n)
+		c.cloud.SetShare(0.2 / n)
+	}
+}
+
+// act carries out what the election asks for.
+func (c *Core) act(actions []election.Action) {
+	ttl := c.ttl()
+	for _, a := range actions {
+		switch a.Kind {
+		case election.Grant:
+			go func() {
+				lease, err := c.store.Grant(ttl)
+				if err != nil {
+					c.log.Debug("no lease granted", "error", err)
+				}
+				c.post(func() { c.act(c.el.Granted(clock.Now(), lease)) })
+			}()
+		case election.Acquire:
+			c.acquire(a.Lease)
+		case election.Renew:
+			go func() {
+				err := c.store.Renew(a.Lease, ttl/4)
+				c.post(func() {
+					c.act(c.el.Renewed(clock.Now(), a.Lease, err == nil, err == state.ErrGone))
+				})
+			}()
+		case election.Revoke:
+			go func() {
+				if err := c.store.Revoke(a.Lease); err != nil {
+					c.log.Debug("lease not revoked", "error", err)
+				}
+			}()
+		case election.Refresh:
+			c.view.wantSync(func(error) {}, clock.Now()+10*clock.Second)
+		}
+	}
+}
+
+func (c *Core) ttl() clock.Micros { return c.el.TTL() }
+
+func (c *Core) acquire(lease uint64) {
+	value, err := lockRecord{Member: c.cfg.Member, Lease: lease}.MarshalJSON()
+	if err != nil {
+		return
+	}
+	w := &state.Write{
+		If:       []wire.Condition{{Key: keyLock}},
+		Then:     []wire.Change{{Put: keyLock, Value: value, Lease: lease}},
+		Deadline: clock.Now() + c.ttl()/2,
+	}
+	w.Done = func(o state.Outcome, rev uint64) {
+		c.post(func() {
+			r := election.Open
+			switch o {
+			case state.Committed:
+				r = election.Won
+			case state.Conflict, state.Refused, state.Fenced:
+				r = election.Lost
+			}
+			c.act(c.el.Acquired(clock.Now(), r, rev))
+			c.checkLead()
+		})
+	}
+	if !c.store.Commit(w) {
+		c.act(c.el.Acquired(clock.Now(), election.Lost, 0))
+	}
+}
+
+// checkLead begins the take-over once the lock is ours.
+func (c *Core) checkLead() {
+	if c.el.Phase() != election.Leader || c.lead != nil || c.rebuilding {
+		return
+	}
+	c.rebuilding = true
+	c.applyShares()
+	c.log.Info("lock won", "token", c.el.Token())
+	c.takeOver()
+}
+
+// takeOver rebuilds the account from a view that is as new as the token.
+func (c *Core) takeOver() {
+	token := c.el.Token()
+	c.view.wantSync(func(err error) {
+		switch {
+		case c.el.Token() != token:
+			c.rebuilding = false
+			c.checkLead()
+		case err != nil || c.view.rev < token || len(c.types) == 0:
+			// Types come from the state service or the cloud; try again soon.
+			time.AfterFunc(100*time.Millisecond, func() {
+				c.post(func() {
+					if c.el.Token() == token && c.rebuilding {
+						c.takeOver()
+					} else {
+						c.rebuilding = false
+						c.checkLead()
+					}
+				})
+			})
+		default:
+			c.rebuilding = false
+			c.lead = newLead(c, token)
+			c.nextBeat = 0
+		}
+	}, clock.Now()+2*clock.Second)
+}
+
+func (c *Core) stepDown(why string) {
+	if c.lead == nil {
+		return
+	}
+	c.log.Info("lead given up", "why", why, "token", c.lead.token)
+	c.lead.closed = true
+	c.lead = nil
+	c.rebuilding = false
+	c.applyShares()
+	c.nextBeat = 0
+}
+
+// fenced takes the news that the lock is not ours any more.
+func (c *Core) fenced(token uint64) {
+	c.act(c.el.Fenced(clock.Now(), token))
+	if c.el.Phase() != election.Leader {
+		c.stepDown("a write was fenced")
+	}
+}
+
+// fetchTypes learns what the cloud has on offer; prices move, so it is asked
+// again now and then.
+func (c *Core) fetchTypes(now clock.Micros) {
+	wait := 2 * clock.Second
+	if len(c.types) > 0 {
+		if c.lead == nil {
+			return
+		}
+		wait = 60 * clock.Second
+	}
+	if c.typesBusy || c.typesAt != 0 && now-c.typesAt < wait {
+		return
+	}
+	c.typesBusy, c.typesAt = true, now
+	go func() {
+		types, err := c.cloud.Types()
+		c.post(func() {
+			c.typesBusy = false
+			if err != nil {
+				c.log.Debug("machine types not learnt", "error", err)
+				return
+			}
+			c.setTypes(types)
+			if c.lead != nil {
+				c.lead.saveTypes()
+			}
+		})
+	}()
+}
+
+func (c *Core) setTypes(types []wire.MachineType) {
+	c.types = types
+	if c.lead != nil {
+		c.lead.pl.SetTypes(types)
+	}
+}
+
+// Close gives the lead away; a new leader need not wait for the lock to end.
+func (c *Core) Close() {
+	done := make(chan struct{})
+	c.post(func() {
+		for _, a := range c.el.Resign(clock.Now(), 3600*clock.Second) {
+			if a.Kind == election.Revoke {
+				if err := c.store.Revoke(a.Lease); err != nil {
+					c.log.Debug("lease not revoked", "error", err)
+				}
+			}
+		}
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-time.After(2 * time.Second):
+	}
+}
--- /dev/null
+++ b/internal/core/queue.go
@@ -0,0 +1,69 @@
+package core
+
+import "sync"
+
+// rank orders commands under overload: what workers report goes first, then
+// the results that decisions wait for, then what users ask.
+type rank uint8
+
+const (
+	rankReport rank = iota
+	rankDecision
+	rankUser
+	ranks
+)
+
+// queue holds commands for the owner. Each rank is bounded; what users ask is
+// refused first.
+type queue struct {
+	mu    sync.Mutex
+	lists [ranks][]func()
+	wake  chan struct{}
+}
+
+// bounds of the ranks. Decisions are results of this process's own calls,
+// which are bounded where they are made.
+var bounds = [ranks]int{rankReport: 4096, rankDecision: 1 << 20, rankUser: 1024}
+
+func newQueue() *queue { return &queue{wake: make(chan struct{}, 1)} }
+
+// post adds a command; false means that the rank is full.
+func (q *queue) post(r rank, f func()) bool {
+	q.mu.Lock()
+	if len(q.lists[r]) >= bounds[r] {
+		q.mu.Unlock()
+		return false
+	}
+	q.lists[r] = append(q.lists[r], f)
+	q.mu.Unlock()
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// batchUsers bounds how many user commands one batch takes, so that reports
+// that come meanwhile need not wait for all of them.
+const batchUsers = 64
+
+// take returns the next batch in order of rank.
+func (q *queue) take() []func() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	batch := append(q.lists[rankReport], q.lists[rankDecision]...)
+	n := min(len(q.lists[rankUser]), batchUsers)
+	batch = append(batch, q.lists[rankUser][:n]...)
+	q.lists[rankReport], q.lists[rankDecision] = nil, nil
+	rest := q.lists[rankUser][n:]
+	if len(rest) == 0 {
+		q.lists[rankUser] = nil
+	} else {
+		q.lists[rankUser] = rest
+		select {
+		case q.wake <- struct{}{}:
+		default:
+		}
+	}
+	return batch
+}
--- /dev/null
+++ b/internal/core/records.go
@@ -0,0 +1,121 @@
+package core
+
+import (
+	"encoding/base64"
+	"strconv"
+	"strings"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/wire"
+)
+
+//go:generate easyjson -all records.go
+
+// The layout of the state service. Everything lies under one prefix, so that
+// one watch sees every change in the order of revisions.
+const (
+	prefix       = "firwood/"
+	keyLock      = prefix + "lead"
+	keyTypes     = prefix + "types"
+	prefixJob    = prefix + "job/"
+	prefixDone   = prefix + "done/"
+	prefixHire   = prefix + "hire/"
+	chunkTasks   = 32768 // tasks in one progress key: 4 KiB of bits
+	maxChunkName = 4
+)
+
+// lockRecord is the value of the lock key.
+type lockRecord struct {
+	Member string `json:"m"`
+	Lease  uint64 `json:"l"`
+}
+
+// jobRecord is the value of a job's key: the submission while tasks of the job
+// may be anywhere, only what has to be remembered after that.
+type jobRecord struct {
+	Job *wire.Job `json:"j,omitempty"`
+	// At is the time of day of the submission.
+	At int64 `json:"at"`
+	// State is empty while the job is active.
+	State string `json:"s,omitempty"`
+	Class string `json:"c,omitempty"`
+	End   int64  `json:"e,omitempty"`
+	// Due is the deadline as a time of day, First the first start.
+	Due      int64 `json:"d,omitempty"`
+	First    int64 `json:"f,omitempty"`
+	Tasks    int   `json:"n,omitempty"`
+	Errors   int   `json:"x,omitempty"`
+	Restarts int   `json:"r,omitempty"`
+
+	version uint64
+}
+
+func (r *jobRecord) over() bool { return r.State != "" }
+
+// hireRecord is the value of a hire's key. It is written before the request
+// goes out, and again with the names that came back.
+type hireRecord struct {
+	Type     string   `json:"t"`
+	Zone     string   `json:"z"`
+	Spot     bool     `json:"s,omitempty"`
+	Count    int      `json:"n"`
+	At       int64    `json:"at"`
+	Resolved bool     `json:"ok,omitempty"`
+	Machines []string `json:"m,omitempty"`
+}
+
+// doneRecord is the value of a progress key. That it exists says that tasks of
+// the job may have been started.
+type doneRecord struct {
+	Bits string `json:"b"`
+}
+
+func doneKey(id string, chunk int) string { return prefixDone + id + "/" + strconv.Itoa(chunk) }
+
+func parseDoneKey(key string) (id string, chunk int, ok bool) {
+	id, c, found := strings.Cut(strings.TrimPrefix(key, prefixDone), "/")
+	if !found {
+		return "", 0, false
+	}
+	chunk, err := strconv.Atoi(c)
+	if err != nil || chunk < 0 || chunk >= maxChunkName {
+		return "", 0, false
+	}
+	return id, chunk, true
+}
+
+// bitmap is a set of task numbers within one chunk.
+type bitmap []byte
+
+func (b bitmap) has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
+
+func (b *bitmap) set(i int) {
+	for len(*b) <= i/8 {
+		*b = append(*b, 0)
+	}
+	(*b)[i/8] |= 1 << (i % 8)
+}
+
+func (b bitmap) encode() string { return base64.StdEncoding.EncodeToString(b) }
+
+func decodeBitmap(s string) (bitmap, error) {
+	b, err := base64.StdEncoding.DecodeString(s)
+	return bitmap(b), err
+}
+
+// overRecord is what remains of a job.
+func overRecord(r *jobRecord, state string, now clock.Micros) *jobRecord {
+	o := &jobRecord{At: r.At, State: state, End: int64(now)}
+	if state == wire.JobAborted {
+		// A later leader has to know what the tasks that may still run take.
+		o.Job = r.Job
+	}
+	if r.Job != nil {
+		o.Class = r.Job.Class
+		o.Tasks = r.Job.Tasks
+		if r.Job.DeadlineS > 0 {
+			o.Due = r.At + int64(clock.FromSeconds(r.Job.DeadlineS))
+		}
+	}
+	return o
+}
--- /dev/null
+++ b/internal/core/view.go
@@ -0,0 +1,295 @@
+package core
+
+import (
+	"errors"
+	"strings"
+	"time"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/election"
+	"firwood.dev/firwood/internal/state"
+	"firwood.dev/firwood/wire"
+)
+
+// view is this process's copy of what is in the state service. It is never
+// behind by guess: an answer to a user that could be overtaken waits for a
+// watch that was opened after the question came, and so proves its revision.
+type view struct {
+	loaded bool
+	rev    uint64
+	jobs   map[string]*jobRecord
+	done   map[string]map[int]bitmap
+	hires  map[string]*hireRecord
+	lock   election.Lock
+
+	waiters  []*waiter
+	syncing  int // syncs under way
+	lastSync clock.Micros
+	polling  bool
+	nextPoll clock.Micros
+	loading  bool
+}
+
+type waiter struct {
+	f     func(error)
+	until clock.Micros
+	taken bool // a watch that will serve it is under way
+	over  bool
+}
+
+func (w *waiter) end(err error) {
+	if !w.over {
+		w.over = true
+		w.f(err)
+	}
+}
+
+var errNoView = errors.New("the state service does not answer")
+
+func (v *view) init() {
+	v.jobs = map[string]*jobRecord{}
+	v.done = map[string]map[int]bitmap{}
+	v.hires = map[string]*hireRecord{}
+}
+
+// wantSync calls f once the view is at least as new as this call, or with an
+// error when that could not be had in time.
+func (v *view) wantSync(f func(error), until clock.Micros) {
+	v.waiters = append(v.waiters, &waiter{f: f, until: until})
+}
+
+func (v *view) expireWaiters(now clock.Micros) {
+	var late []*waiter
+	kept := v.waiters[:0]
+	for _, w := range v.waiters {
+		switch {
+		case w.over:
+		case now >= w.until:
+			late = append(late, w)
+		default:
+			kept = append(kept, w)
+		}
+	}
+	clear(v.waiters[len(kept):])
+	v.waiters = kept
+	for _, w := range late {
+		w.end(errNoView)
+	}
+}
+
+// load reads everything, at the start and after a watch fell too far behind.
+func (c *Core) load() {
+	if c.view.loading {
+		return
+	}
+	c.view.loading = true
+	go func() {
+		items, rev, err := c.store.Load(prefix)
+		if err != nil {
+			c.log.Debug("state not loaded", "error", err)
+			time.Sleep(300 * time.Millisecond)
+		}
+		c.post(func() {
+			c.view.loading = false
+			if err != nil {
+				c.load()
+				return
+			}
+			c.loaded(items, rev)
+		})
+	}()
+}
+
+func (c *Core) loaded(items []wire.Item, rev uint64) {
+	v := &c.view
+	if v.loaded && rev < v.rev {
+		return
+	}
+	// Keys that vanished while nobody watched: jobs never do.
+	v.done = map[string]map[int]bitmap{}
+	v.hires = map[string]*hireRecord{}
+	v.lock = election.Lock{}
+	for i := range items {
+		c.put(items[i].Key, items[i].Value, items[i].Version)
+	}
+	v.rev = max(v.rev, rev)
+	v.loaded = true
+	c.seenLock()
+	c.log.Info("state loaded", "revision", rev, "jobs", len(v.jobs))
+}
+
+// startSync opens the watches that are due: one that answers at once if
+// somebody waits for proof, and a long one that brings changes by itself.
+func (c *Core) startSync() {
+	v := &c.view
+	now := clock.Now()
+	if !v.loaded {
+		return
+	}
+	gap := 60 * clock.Millisecond
+	if c.lead != nil || c.rebuilding {
+		gap = 25 * clock.Millisecond
+	}
+	if v.syncing < 2 && now-v.lastSync >= gap {
+		var mine []*waiter
+		for _, w := range v.waiters {
+			if !w.taken && !w.over {
+				w.taken = true
+				mine = append(mine, w)
+			}
+		}
+		if len(mine) > 0 {
+			v.syncing++
+			v.lastSync = now
+			go c.watch(0, func(err error) {
+				v.syncing--
+				for _, w := range mine {
+					w.end(err)
+				}
+			})
+		}
+	}
+	if !v.polling && now >= v.nextPoll {
+		v.polling = true
+		go c.watch(10*clock.Second, func(err error) {
+			v.polling = false
+			v.nextPoll = clock.Now() + 200*clock.Millisecond
+			if c.lead != nil {
+				v.nextPoll = clock.Now() + 50*clock.Millisecond
+			}
+			if err != nil {
+				v.nextPoll = clock.Now() + 300*clock.Millisecond
+			}
+		})
+	}
+}
+
+func (c *Core) watch(block clock.Micros, then func(error)) {
+	since := make(chan uint64, 1)
+	// The revision is read by the owner as late as possible.
+	c.post(func() { since <- c.view.rev })
+	from := <-since
+	events, err := c.store.Watch(prefix, from, block)
+	c.post(func() {
+		if err == nil {
+			c.apply(events)
+		} else if errors.Is(err, state.ErrCompacted) {
+			c.load()
+		}
+		then(err)
+	})
+}
+
+func (c *Core) apply(e *wire.Events) {
+	v := &c.view
+	for i := range e.Events {
+		ev := &e.Events[i]
+		if ev.Version <= v.rev {
+			continue
+		}
+		if ev.Delete != "" {
+			c.drop(ev.Delete)
+		} else {
+			c.put(ev.Put, ev.Value, ev.Version)
+		}
+	}
+	v.rev = max(v.rev, e.Revision)
+	c.seenLock()
+}
+
+// seenLock tells the election of the lock, unless the view is older than our
+// own token.
+func (c *Core) seenLock() {
+	if c.el.Phase() == election.Leader && c.view.rev < c.el.Token() {
+		return
+	}
+	c.act(c.el.Seen(clock.Now(), c.view.lock))
+	c.act(c.el.Tick(clock.Now()))
+	c.checkLead()
+}
+
+func (c *Core) malformed(key string, err error) {
+	c.store.Dropped.Add(1)
+	c.log.Error("a record makes no sense", "key", key, "error", err)
+}
+
+func (c *Core) put(key string, value []byte, version uint64) {
+	v := &c.view
+	switch {
+	case key == keyLock:
+		var r lockRecord
+		if err := r.UnmarshalJSON(value); err != nil {
+			c.malformed(key, err)
+			return
+		}
+		v.lock = election.Lock{Exists: true, Holder: r.Member, Lease: r.Lease, Version: version}
+	case key == keyTypes:
+		var t wire.MachineTypes
+		if err := t.UnmarshalJSON(value); err != nil {
+			c.malformed(key, err)
+			return
+		}
+		if len(c.types) == 0 {
+			c.setTypes(t.Types)
+		}
+	case strings.HasPrefix(key, prefixJob):
+		id := key[len(prefixJob):]
+		r := &jobRecord{}
+		if err := r.UnmarshalJSON(value); err != nil {
+			c.malformed(key, err)
+			return
+		}
+		r.version = version
+		old := v.jobs[id]
+		if old != nil && old.version >= version {
+			return
+		}
+		v.jobs[id] = r
+		if r.over() {
+			delete(c.counts, id)
+		}
+		if c.lead != nil {
+			c.lead.jobChanged(id, r)
+		}
+	case strings.HasPrefix(key, prefixDone):
+		id, chunk, ok := parseDoneKey(key)
+		var r doneRecord
+		err := r.UnmarshalJSON(value)
+		var bits bitmap
+		if err == nil {
+			bits, err = decodeBitmap(r.Bits)
+		}
+		if !ok || err != nil {
+			c.malformed(key, err)
+			return
+		}
+		if v.done[id] == nil {
+			v.done[id] = map[int]bitmap{}
+		}
+		v.done[id][chunk] = bits
+	case strings.HasPrefix(key, prefixHire):
+		r := &hireRecord{}
+		if err := r.UnmarshalJSON(value); err != nil {
+			c.malformed(key, err)
+			return
+		}
+		v.hires[key[len(prefixHire):]] = r
+	}
+}
+
+func (c *Core) drop(key string) {
+	v := &c.view
+	switch {
+	case key == keyLock:
+		v.lock = election.Lock{}
+	case strings.HasPrefix(key, prefixDone):
+		if id, chunk, ok := parseDoneKey(key); ok {
+			delete(v.done[id], chunk)
+			if len(v.done[id]) == 0 {
+				delete(v.done, id)
+			}
+		}
+	case strings.HasPrefix(key, prefixHire):
+		delete(v.hires, key[len(prefixHire):])
+	}
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,1062 @@
+// Package ledger owns the answer to one question: which task may be on which
+// machine. It is pure: time and messages come in, facts and commands go out.
+//
+// The invariants, which the generated histories of the tests hold it to:
+//
+//  1. A (task, attempt) that was sent to a machine may be there until: a newer
+//     report by (session, seq), which the machine made after it could no longer
+//     take the command, lacks it or shows it exited; or the session has grown;
+//     or the cloud has answered the machine's deletion; or the machine's lease
+//     has provably run out.
+//  2. A start in a report's answer is dead once the worker sends another
+//     report. A start sent straight to the worker, whose answer is missing,
+//     stays possible until the session grows, the machine is gone, or the
+//     worker has seen a higher token. An attempt is never forgotten while such
+//     a start may be on its way: it would run again.
+//  3. Attempts of a task only grow, over all leaders: the token is their upper
+//     part.
+//  4. What an earlier leader started is in doubt until every machine that may
+//     have existed then is accounted for. Doubt counts as running for tasks,
+//     team limits, zones and spread.
+//  5. A result is durable before its task is forgotten.
+//  6. Type, zone, kind, team limit and the job's other tasks are checked again
+//     when a start is put into a message.
+package ledger
+
+import (
+	"errors"
+	"math"
+	"slices"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/wire"
+)
+
+// Resources are amounts in whole thousandths.
+type Resources struct{ CPU, GPU, Mem int64 }
+
+// FromAmounts converts the wire's decimal amounts.
+func FromAmounts(cpus, gpus, memoryGB float64) Resources {
+	r := func(f float64) int64 { return int64(math.Round(f * 1000)) }
+	return Resources{r(cpus), r(gpus), r(memoryGB)}
+}
+
+// Add returns the sum.
+func (a Resources) Add(b Resources) Resources {
+	return Resources{a.CPU + b.CPU, a.GPU + b.GPU, a.Mem + b.Mem}
+}
+
+// Sub returns the difference.
+func (a Resources) Sub(b Resources) Resources {
+	return Resources{a.CPU - b.CPU, a.GPU - b.GPU, a.Mem - b.Mem}
+}
+
+// Times returns n times the amounts.
+func (a Resources) Times(n int) Resources {
+	return Resources{a.CPU * int64(n), a.GPU * int64(n), a.Mem * int64(n)}
+}
+
+// Fits tells whether a fits into b.
+func (a Resources) Fits(b Resources) bool { return a.CPU <= b.CPU && a.GPU <= b.GPU && a.Mem <= b.Mem }
+
+// Team is a team's guarantee and limit; a limit of 0 is none.
+type Team struct {
+	CPU, GPU       int64
+	CPUMax, GPUMax int64
+}
+
+// Config holds what a ledger has to know of its world.
+type Config struct {
+	Token uint64
+	Lease clock.Micros
+	Teams map[string]Team
+	// MayFence bounds how long after a withdrawal a start that can no longer be
+	// called back may be met by a start and a stop in one message.
+	MayFence clock.Micros
+}
+
+// TaskState is where a task stands.
+type TaskState uint8
+
+// States of a task.
+const (
+	Waiting TaskState = iota
+	Placed
+	Done
+)
+
+// Task is one task of a job.
+type Task struct {
+	State TaskState
+	// Doubt: an earlier leader may have started it somewhere.
+	Doubt bool
+	// Durable: its completion is in the state service.
+	Durable bool
+	Fails   uint8
+	Place   *Placement
+	// NotBefore holds a failed task back.
+	NotBefore clock.Micros
+}
+
+// Job is an accepted job that is not over, or whose tasks are not all gone.
+type Job struct {
+	Spec        *wire.Job
+	Need        Resources
+	Priority    int
+	Submitted   clock.Micros // time of day
+	Seen        clock.Micros // steady clock, when this leader learnt of it
+	Withdrawn   bool
+	WithdrawnAt clock.Micros
+	// Marked: the state service knows that tasks of it may have been started.
+	Marked bool
+	Tasks  []Task
+
+	doubts  int
+	done    int
+	durable int
+	active  int // placements
+	waiting int
+	byZone  map[string]int
+	// Attempt of a gang in progress, 0 if none; Broken: it has to end.
+	Attempt uint64
+	Broken  bool
+	Running int
+	// ErrorsOn counts failures by machine.
+	ErrorsOn   map[string]int
+	Errors     int
+	Restarts   int
+	FirstStart clock.Micros // steady clock
+}
+
+// Gang tells whether the job's tasks run together.
+func (j *Job) Gang() bool { return j.Spec.Kind == wire.KindGang }
+
+// Service tells whether the job runs until it is withdrawn.
+func (j *Job) Service() bool { return j.Spec.Kind == wire.KindService }
+
+// DoneCount is the number of completed tasks.
+func (j *Job) DoneCount() int { return j.done }
+
+// WaitingCount is the number of tasks that are neither placed nor done.
+func (j *Job) WaitingCount() int { return j.waiting }
+
+// Active is the number of placements, doubtful ones not included.
+func (j *Job) Active() int { return j.active }
+
+// Doubts is the number of tasks in doubt.
+func (j *Job) Doubts() int { return j.doubts }
+
+// Complete tells whether every task is done.
+func (j *Job) Complete() bool { return j.done == len(j.Tasks) }
+
+// InZone counts the job's tasks that are, or may be, in a zone.
+func (j *Job) InZone(zone string) int { return j.byZone[zone] + j.doubts }
+
+// OnlyZone returns the zone that the job's tasks are in, if there is one.
+func (j *Job) OnlyZone() (string, bool) {
+	for z, n := range j.byZone {
+		if n > 0 {
+			return z, true
+		}
+	}
+	return "", false
+}
+
+// SpreadLimit is how many tasks may be in one zone.
+func (j *Job) SpreadLimit() int { return (len(j.Tasks) + 1) / 2 }
+
+// Phase is how much is known of a placement.
+type Phase uint8
+
+// Phases of a placement.
+const (
+	// Assigned: decided, not yet sent.
+	Assigned Phase = iota
+	// Sent: the start may or may not have arrived.
+	Sent
+	// Present: the worker has reported it.
+	Present
+)
+
+// Placement is a task that is, or may be, on a machine.
+type Placement struct {
+	Job     *Job
+	Index   int
+	Attempt uint64
+	Machine *Machine
+	Phase   Phase
+	State   string       // as last reported
+	Since   clock.Micros // when it was decided or adopted
+	Started clock.Micros // when it was first seen running
+
+	// Stray: not the task's place by the ledger's will; it is to be stopped.
+	Stray bool
+	id    string
+
+	sentSeq   uint64 // seq of the report whose answer carried the start
+	directOut int    // direct starts without an answer yet
+	late      bool   // a direct start may still arrive
+	stop      bool
+	grace     clock.Micros
+	stopSent  clock.Micros
+}
+
+// Stopping tells whether the placement is to end.
+func (p *Placement) Stopping() bool { return p.stop }
+
+// exit is an exited attempt that the worker still lists.
+type exit struct {
+	id      string
+	attempt uint64
+	job     *Job
+	index   int
+	done    bool
+}
+
+type attemptKey struct {
+	id      string
+	attempt uint64
+}
+
+// Machine is a machine that exists, or may.
+type Machine struct {
+	Name, Type, Zone, Addr string
+	Spot                   bool
+	Cap                    Resources
+	// Recorded: the state service names it. Only then may it get tasks.
+	Recorded bool
+	Session  uint64
+	Seq      uint64
+	Heard    clock.Micros // when the last newer report came
+	// Synced: it has reported under this token.
+	Synced bool
+	// Accounted: nothing of an earlier leader can be on it unseen.
+	Accounted bool
+	// Draining: it gets nothing new.
+	Draining bool
+	// TakenAt is when the cloud takes it back, 0 if not announced.
+	TakenAt clock.Micros
+	// Images that it has fetched, with when each was last used.
+	Images map[string]clock.Micros
+	Since  clock.Micros // when this leader learnt of it
+	UpAt   clock.Micros // when it was first heard
+	IdleAt clock.Micros // since when it has nothing to do
+	// FaultyJobs counts the jobs that failed on it.
+	FaultyJobs map[string]bool
+
+	granted clock.Micros // its lease may be counted from here
+	used    Resources
+	places  map[string]*Placement
+	exits   []exit
+	lateIDs map[attemptKey]bool // attempts that a late direct start may bring back
+	directs bool                // a direct message is out
+	// Reports of sessions before this one are void.
+	minSession uint64
+}
+
+// Used is what its placements take.
+func (m *Machine) Used() Resources { return m.used }
+
+// Free is what is left for new tasks.
+func (m *Machine) Free() Resources { return m.Cap.Sub(m.used) }
+
+// Idle tells that nothing is, or may be, on it.
+func (m *Machine) Idle() bool { return len(m.places) == 0 }
+
+// Usable tells that it may get tasks.
+func (m *Machine) Usable() bool { return m.Recorded && m.Synced && !m.Draining && m.TakenAt == 0 }
+
+// Places calls f for every placement on it.
+func (m *Machine) Places(f func(*Placement)) {
+	for _, p := range m.places {
+		f(p)
+	}
+}
+
+// Lists tells whether the worker still lists some attempt of the task.
+func (m *Machine) Lists(id string) bool {
+	if _, ok := m.places[id]; ok {
+		return true
+	}
+	for i := range m.exits {
+		if m.exits[i].id == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Ending tells how a placement ended.
+type Ending struct {
+	Placement *Placement
+	// Why is a cause of the wire, or "vanished".
+	Why string
+}
+
+// WhyVanished marks a task that was on a machine, or may have been, and is
+// provably no longer there, without a report of its exit.
+const WhyVanished = "vanished"
+
+// Ledger is a leader's account. It is made anew at every take-over.
+type Ledger struct {
+	cfg      Config
+	Jobs     map[string]*Job
+	Machines map[string]*Machine
+	use      map[string]*Resources
+	doubt    map[string]*Resources
+	counter  uint64
+	open     int // machines not accounted for
+	settled  bool
+
+	// Ended collects how placements ended, until it is taken.
+	Ended []Ending
+	// Begun collects placements first seen running, until it is taken.
+	Begun []*Placement
+}
+
+// New makes an empty ledger; Settle opens it once the machines and jobs that
+// existed at the take-over are in it.
+func New(cfg Config) *Ledger {
+	return &Ledger{
+		cfg: cfg, Jobs: map[string]*Job{}, Machines: map[string]*Machine{},
+		use: map[string]*Resources{}, doubt: map[string]*Resources{},
+	}
+}
+
+// Settle ends the rebuilding from the state service.
+func (l *Ledger) Settle() {
+	l.settled = true
+	l.checkAccounts()
+}
+
+// Accounted tells that nothing is in doubt any more.
+func (l *Ledger) Accounted() bool { return l.settled && l.open == 0 }
+
+func (l *Ledger) teamUse(m map[string]*Resources, team string) *Resources {
+	r := m[team]
+	if r == nil {
+		r = &Resources{}
+		m[team] = r
+	}
+	return r
+}
+
+// TeamUse is what a team's tasks take, or may take.
+func (l *Ledger) TeamUse(team string) Resources {
+	return l.teamUse(l.use, team).Add(*l.teamUse(l.doubt, team))
+}
+
+// AddJob takes an accepted job. Before Settle, a marked job's tasks are in
+// doubt, unless their completion is durable.
+func (l *Ledger) AddJob(spec *wire.Job, submitted, now clock.Micros, marked bool, durable func(int) bool) *Job {
+	j := &Job{
+		Spec: spec, Need: FromAmounts(spec.CPUs, spec.GPUs, spec.MemoryGB),
+		Priority: wire.PriorityIndex(spec.Priority), Submitted: submitted, Seen: now, Marked: marked,
+		Tasks: make([]Task, spec.Tasks), byZone: map[string]int{},
+	}
+	j.waiting = spec.Tasks
+	l.Jobs[spec.ID] = j
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		if durable != nil && durable(i) {
+			t.State, t.Durable = Done, true
+			j.done++
+			j.durable++
+			j.waiting--
+		} else if marked && !l.settled {
+			t.Doubt = true
+			j.doubts++
+		}
+	}
+	if j.doubts > 0 {
+		u := l.teamUse(l.doubt, spec.Team)
+		*u = u.Add(j.Need.Times(j.doubts))
+	}
+	return j
+}
+
+// Withdraw takes the durable withdrawal of a job: its tasks are to end.
+func (l *Ledger) Withdraw(j *Job, now clock.Micros) {
+	if j.Withdrawn {
+		return
+	}
+	j.Withdrawn = true
+	j.WithdrawnAt = now
+	for i := range j.Tasks {
+		if p := j.Tasks[i].Place; p != nil {
+			l.Stop(p, 0)
+		}
+	}
+}
+
+// Gone tells that no task of the job is, or may be, anywhere.
+func (l *Ledger) Gone(j *Job) bool { return j.active == 0 && j.doubts == 0 }
+
+// RemoveJob forgets a job that is over and gone.
+func (l *Ledger) RemoveJob(j *Job) {
+	if l.Gone(j) {
+		delete(l.Jobs, j.Spec.ID)
+	}
+}
+
+// AddMachine takes a machine. One that existed at the take-over has to be
+// accounted for.
+func (l *Ledger) AddMachine(name, typ, zone string, spot bool, size Resources, now clock.Micros) *Machine {
+	if m := l.Machines[name]; m != nil {
+		return m
+	}
+	m := &Machine{
+		Name: name, Type: typ, Zone: zone, Spot: spot, Cap: size, Since: now, IdleAt: now, granted: now,
+		Images: map[string]clock.Micros{}, places: map[string]*Placement{}, FaultyJobs: map[string]bool{},
+		lateIDs: map[attemptKey]bool{},
+	}
+	if l.settled {
+		m.Accounted = true
+	} else {
+		l.open++
+	}
+	l.Machines[name] = m
+	return m
+}
+
+func (l *Ledger) account(m *Machine) {
+	if !m.Accounted {
+		m.Accounted = true
+		l.open--
+		l.checkAccounts()
+	}
+}
+
+// checkAccounts clears all doubt once every machine is accounted for: a task
+// that no machine has is nowhere.
+func (l *Ledger) checkAccounts() {
+	if !l.Accounted() {
+		return
+	}
+	for _, j := range l.Jobs {
+		if j.doubts == 0 {
+			continue
+		}
+		for i := range j.Tasks {
+			l.clearDoubt(j, i)
+		}
+	}
+}
+
+func (l *Ledger) clearDoubt(j *Job, i int) {
+	t := &j.Tasks[i]
+	if !t.Doubt {
+		return
+	}
+	t.Doubt = false
+	j.doubts--
+	u := l.teamUse(l.doubt, j.Spec.Team)
+	*u = u.Sub(j.Need)
+}
+
+// Errors of Place.
+var (
+	ErrState = errors.New("ledger: the task or machine is not free for this")
+	ErrPlace = errors.New("ledger: the job does not allow this place")
+	ErrLimit = errors.New("ledger: the team's limit does not allow it")
+	ErrRoom  = errors.New("ledger: the machine has no room")
+)
+
+// Attempt returns a number greater than every earlier one.
+func (l *Ledger) Attempt() uint64 {
+	l.counter++
+	return l.cfg.Token<<20 | l.counter&(1<<20-1)
+}
+
+// WithinLimit tells whether a team may use that much more.
+func (l *Ledger) WithinLimit(team string, more Resources) bool {
+	lim := l.cfg.Teams[team]
+	u := l.TeamUse(team).Add(more)
+	return (lim.CPUMax == 0 || u.CPU <= lim.CPUMax) && (lim.GPUMax == 0 || u.GPU <= lim.GPUMax)
+}
+
+// Allowed tells whether the job's own wishes allow the machine now, its other
+// tasks considered.
+func Allowed(j *Job, m *Machine) bool {
+	s := j.Spec
+	if m.Spot && !s.Spot || s.Zone != "" && s.Zone != m.Zone {
+		return false
+	}
+	if s.Types != nil && !slices.Contains(s.Types, m.Type) {
+		return false
+	}
+	if s.OneZone {
+		if j.doubts > 0 {
+			return false
+		}
+		if z, ok := j.OnlyZone(); ok && z != m.Zone {
+			return false
+		}
+	}
+	if s.Spread && j.InZone(m.Zone)+1 > j.SpreadLimit() {
+		return false
+	}
+	return true
+}
+
+// Place decides that a waiting task goes to a machine.
+func (l *Ledger) Place(j *Job, i int, m *Machine, attempt uint64, now clock.Micros) error {
+	t := &j.Tasks[i]
+	if t.State != Waiting || t.Doubt || t.Place != nil || j.Withdrawn || !j.Marked || !m.Usable() {
+		return ErrState
+	}
+	if j.Gang() && j.Attempt != 0 && j.Attempt != attempt {
+		return ErrState
+	}
+	id := wire.TaskID(j.Spec.ID, i)
+	if m.Lists(id) {
+		return ErrState
+	}
+	if !Allowed(j, m) {
+		return ErrPlace
+	}
+	if !l.WithinLimit(j.Spec.Team, j.Need) {
+		return ErrLimit
+	}
+	if !j.Need.Fits(m.Free()) {
+		return ErrRoom
+	}
+	if j.Gang() {
+		j.Attempt = attempt
+	}
+	l.put(&Placement{Job: j, Index: i, Attempt: attempt, Machine: m, Since: now, id: id})
+	return nil
+}
+
+// put books a placement.
+func (l *Ledger) put(p *Placement) {
+	j, m := p.Job, p.Machine
+	m.places[p.id] = p
+	m.used = m.used.Add(j.Need)
+	u := l.teamUse(l.use, j.Spec.Team)
+	*u = u.Add(j.Need)
+	j.byZone[m.Zone]++
+	j.active++
+	if !p.Stray {
+		t := &j.Tasks[p.Index]
+		t.Place = p
+		if t.State == Waiting {
+			t.State = Placed
+			j.waiting--
+		}
+	}
+}
+
+// end takes a placement off the books; the caller has the proof.
+func (l *Ledger) end(p *Placement, why string, now clock.Micros) {
+	j, m := p.Job, p.Machine
+	if m.places[p.id] != p {
+		return
+	}
+	delete(m.places, p.id)
+	m.used = m.used.Sub(j.Need)
+	u := l.teamUse(l.use, j.Spec.Team)
+	*u = u.Sub(j.Need)
+	j.byZone[m.Zone]--
+	j.active--
+	if p.Started != 0 {
+		j.Running--
+		m.Images[j.Spec.Image] = now
+	}
+	if len(m.places) == 0 {
+		m.IdleAt = now
+	}
+	if p.late || p.directOut > 0 {
+		m.lateIDs[attemptKey{p.id, p.Attempt}] = true
+	}
+	t := &j.Tasks[p.Index]
+	if t.Place == p {
+		t.Place = nil
+		if t.State == Placed {
+			t.State = Waiting
+			j.waiting++
+		}
+		if why == wire.WhyDone {
+			l.complete(j, p.Index)
+		} else if j.Gang() && t.State != Done {
+			l.breakGang(j)
+		}
+	}
+	if j.Gang() && j.active == 0 {
+		j.Attempt, j.Broken = 0, false
+	}
+	l.Ended = append(l.Ended, Ending{p, why})
+}
+
+// breakGang ends an attempt of which a task is gone.
+func (l *Ledger) breakGang(j *Job) {
+	if j.Broken || j.active == 0 {
+		return
+	}
+	j.Broken = true
+	for i := range j.Tasks {
+		if p := j.Tasks[i].Place; p != nil {
+			l.Stop(p, 0)
+		}
+	}
+}
+
+// complete takes the completion of a task. A gang completes as one.
+func (l *Ledger) complete(j *Job, i int) {
+	if j.Gang() {
+		for k := range j.Tasks {
+			l.completeOne(j, k)
+		}
+		return
+	}
+	l.completeOne(j, i)
+}
+
+func (l *Ledger) completeOne(j *Job, i int) {
+	t := &j.Tasks[i]
+	l.clearDoubt(j, i)
+	if t.State == Done {
+		return
+	}
+	if t.State == Waiting {
+		j.waiting--
+	}
+	t.State = Done
+	j.done++
+}
+
+// MadeDurable takes the news that completions are in the state service.
+func (l *Ledger) MadeDurable(j *Job, tasks []int) {
+	for _, i := range tasks {
+		if t := &j.Tasks[i]; t.State == Done && !t.Durable {
+			t.Durable = true
+			j.durable++
+		}
+	}
+}
+
+// NotDurable lists completions that the state service does not have yet.
+func (j *Job) NotDurable() []int {
+	if j.durable == j.done {
+		return nil
+	}
+	var out []int
+	for i := range j.Tasks {
+		if j.Tasks[i].State == Done && !j.Tasks[i].Durable {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Stop asks that a placement ends, with time to save if it can.
+func (l *Ledger) Stop(p *Placement, grace clock.Micros) {
+	if p.Phase == Assigned && p.directOut == 0 && !p.late {
+		l.end(p, wire.WhyStopped, p.Since)
+		return
+	}
+	if p.stop && grace >= p.grace {
+		return
+	}
+	p.stop, p.grace, p.stopSent = true, grace, 0
+}
+
+// StopJob stops all tasks of a gang together, or one task otherwise.
+func (l *Ledger) StopJob(j *Job, grace clock.Micros) {
+	for i := range j.Tasks {
+		if p := j.Tasks[i].Place; p != nil {
+			l.Stop(p, grace)
+		}
+	}
+	if j.Gang() && j.active > 0 {
+		j.Broken = true
+	}
+}
+
+// ReportResult says what a report was worth.
+type ReportResult uint8
+
+const (
+	// Stale: an older message than one already taken.
+	Stale ReportResult = iota
+	// Taken: the report was taken.
+	Taken
+	// Deposed: the worker has seen a higher token than ours.
+	Deposed
+)
+
+// Heard notes that the worker's lease may be renewed by an answer to a report
+// that came at `now`. It has to be called before any report is answered.
+func (l *Ledger) HeardBy(m *Machine, now clock.Micros) { m.granted = max(m.granted, now) }
+
+// Report takes a worker's report, from either direction.
+func (l *Ledger) Report(m *Machine, r *wire.Report, now clock.Micros) ReportResult {
+	if r.Token > l.cfg.Token {
+		return Deposed
+	}
+	if !r.Newer(m.Session, m.Seq) || r.Session < m.minSession {
+		return Stale
+	}
+	if r.Session > m.Session {
+		l.newSession(m, now)
+	}
+	m.Session, m.Seq, m.Heard = r.Session, r.Seq, now
+	if m.UpAt == 0 {
+		m.UpAt = now
+	}
+	if r.Addr != "" {
+		m.Addr = r.Addr
+	}
+	if r.NoticeS != nil {
+		m.TakenAt = now + max(clock.FromSeconds(*r.NoticeS), 1)
+	}
+	synced := r.Token == l.cfg.Token
+	m.exits = m.exits[:0]
+	seen := make(map[string]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		l.reported(m, &r.Tasks[i], seen, now)
+	}
+	if !synced {
+		return Taken
+	}
+	m.Synced = true
+	for id, p := range m.places {
+		if !seen[id] {
+			l.missing(p, now)
+		}
+	}
+	l.account(m)
+	return Taken
+}
+
+// newSession: the worker's lease ran out and everything it had is gone, and
+// commands for the session before are refused from now on.
+func (l *Ledger) newSession(m *Machine, now clock.Micros) {
+	clear(m.lateIDs)
+	for _, p := range m.places {
+		if p.Phase != Assigned || p.late || p.directOut > 0 {
+			p.late, p.directOut = false, 0
+			l.end(p, WhyVanished, now)
+		}
+	}
+	clear(m.lateIDs)
+	clear(m.Images)
+}
+
+func (l *Ledger) reported(m *Machine, t *wire.TaskReport, seen map[string]bool, now clock.Micros) {
+	id, index, ok := wire.ParseTaskID(t.Task)
+	j := l.Jobs[id]
+	if !ok || j == nil || index >= len(j.Tasks) {
+		// No job that is not over: it can only be told to go.
+		m.exits = append(m.exits, exit{id: t.Task, attempt: t.Attempt, done: t.State != wire.TaskExited})
+		return
+	}
+	p := m.places[t.Task]
+	if p != nil && p.Attempt != t.Attempt {
+		if t.State == wire.TaskExited {
+			m.exits = append(m.exits, exit{id: t.Task, attempt: t.Attempt, job: j, index: index})
+			return
+		}
+		if p.Phase == Present {
+			seen[t.Task] = true
+			return // an older attempt beside a newer one; the worker has one only
+		}
+		// The worker has another attempt than the one on its way, which it will
+		// refuse: what is there counts.
+		l.end(p, WhyVanished, now)
+		p = nil
+	}
+	if t.State == wire.TaskExited {
+		if p != nil {
+			l.exited(p, t.Why, now)
+		} else if t.Why == wire.WhyDone && !j.Service() {
+			l.complete(j, index)
+		}
+		m.exits = append(m.exits, exit{id: t.Task, attempt: t.Attempt, job: j, index: index, done: t.Why == wire.WhyDone})
+		return
+	}
+	seen[t.Task] = true
+	if p == nil {
+		p = l.adopt(m, j, index, t, now)
+	}
+	p.Phase = Present
+	p.State = t.State
+	if p.Started == 0 && (t.State == wire.TaskRunning || t.State == wire.TaskWaiting) {
+		p.Started = now
+		j.Running++
+		m.Images[j.Spec.Image] = now
+		l.Begun = append(l.Begun, p)
+	}
+}
+
+// adopt books a task that a worker has and the ledger did not expect there:
+// after a take-over, or as a stray that has to go.
+func (l *Ledger) adopt(m *Machine, j *Job, index int, t *wire.TaskReport, now clock.Micros) *Placement {
+	task := &j.Tasks[index]
+	p := &Placement{Job: j, Index: index, Attempt: t.Attempt, Machine: m, Since: now, id: t.Task}
+	p.Stray = task.Place != nil || task.State == Done
+	l.clearDoubt(j, index)
+	l.put(p)
+	if j.Gang() && !p.Stray {
+		if j.Attempt != 0 && j.Attempt != t.Attempt {
+			l.StopJob(j, 0)
+		} else {
+			j.Attempt = t.Attempt
+		}
+	}
+	if p.Stray || j.Withdrawn || j.Broken {
+		p.stop = true
+	}
+	return p
+}
+
+func (l *Ledger) exited(p *Placement, why string, now clock.Micros) {
+	j, m := p.Job, p.Machine
+	t := &j.Tasks[p.Index]
+	if why == wire.WhyDone && j.Service() {
+		why = wire.WhyStopped // a replica never completes
+	}
+	if why == wire.WhyError && !p.stop {
+		j.Errors++
+		if t.Fails < 255 {
+			t.Fails++
+		}
+		if j.ErrorsOn == nil {
+			j.ErrorsOn = map[string]int{}
+		}
+		j.ErrorsOn[m.Name]++
+		m.FaultyJobs[j.Spec.ID] = true
+	}
+	l.end(p, why, now)
+}
+
+// missing: a report under our token lacks a task that we sent.
+func (l *Ledger) missing(p *Placement, now clock.Micros) {
+	switch p.Phase {
+	case Present:
+		l.end(p, WhyVanished, now)
+	case Sent:
+		if p.directOut > 0 || p.late {
+			return // invariant 2
+		}
+		if p.sentSeq < p.Machine.Seq {
+			// The answer that carried it was lost, or dropped as too late.
+			if p.stop {
+				l.end(p, wire.WhyStopped, now)
+			} else {
+				p.Phase = Assigned
+			}
+		}
+	}
+}
+
+// Orders compiles the commands for the answer to the newest report of m.
+func (l *Ledger) Orders(m *Machine, now clock.Micros) []wire.Command {
+	if !m.Synced {
+		return nil
+	}
+	out := l.cleanUp(m)
+	for _, p := range m.places {
+		out = l.order(out, p, now, false)
+	}
+	return out
+}
+
+// cleanUp forgets exits whose result is durable, and stops what has no job.
+func (l *Ledger) cleanUp(m *Machine) []wire.Command {
+	var out []wire.Command
+	for i := range m.exits {
+		e := &m.exits[i]
+		switch {
+		case e.job == nil && e.done:
+			zero := 0.0
+			out = append(out, wire.Command{Op: wire.OpStop, Task: e.id, Attempt: e.attempt, GraceS: &zero})
+			continue
+		case e.job != nil && e.done && !e.job.Service() && !e.job.Tasks[e.index].Durable:
+			continue // invariant 5
+		case m.lateIDs[attemptKey{e.id, e.attempt}]:
+			continue // invariant 2
+		}
+		if p := m.places[e.id]; p != nil && p.Attempt == e.attempt {
+			continue
+		}
+		out = append(out, wire.Command{Op: wire.OpForget, Task: e.id, Attempt: e.attempt})
+	}
+	return out
+}
+
+// startable is invariant 6, for a placement already on the books.
+func (l *Ledger) startable(p *Placement) bool {
+	j, m := p.Job, p.Machine
+	s := j.Spec
+	if j.Withdrawn || j.Broken || p.stop || !j.Marked || !m.Recorded {
+		return false
+	}
+	if m.Spot && !s.Spot || s.Zone != "" && s.Zone != m.Zone || s.Types != nil && !slices.Contains(s.Types, m.Type) {
+		return false
+	}
+	if s.OneZone && (j.doubts > 0 || j.byZone[m.Zone] != j.active) {
+		return false
+	}
+	if s.Spread && j.InZone(m.Zone) > j.SpreadLimit() {
+		return false
+	}
+	return l.WithinLimit(s.Team, Resources{})
+}
+
+func (l *Ledger) order(out []wire.Command, p *Placement, now clock.Micros, direct bool) []wire.Command {
+	start := wire.Command{Op: wire.OpStart, Task: p.id, Attempt: p.Attempt}
+	grace := p.grace.Seconds()
+	stop := wire.Command{Op: wire.OpStop, Task: p.id, Attempt: p.Attempt, GraceS: &grace}
+	switch {
+	case p.Phase == Present && p.stop:
+		if p.State != wire.TaskSaving || p.grace == 0 {
+			if direct && p.stopSent != 0 {
+				return out
+			}
+			p.stopSent = now
+			out = append(out, stop)
+		}
+	case p.Phase == Present:
+	case p.stop && p.late && !direct:
+		// A start that was sent directly may still arrive. Met by a start and a
+		// stop in one message, its attempt is listed as exited, and the late
+		// one has no effect. Too long after a withdrawal even that could count
+		// as a start: then only the machine's end helps.
+		if p.Job.Withdrawn && now-p.Job.WithdrawnAt > l.cfg.MayFence {
+			return out
+		}
+		zero := 0.0
+		stop.GraceS = &zero
+		out = append(out, start, stop)
+	case p.stop:
+	case p.Phase == Assigned && !l.startable(p):
+		l.end(p, wire.WhyStopped, now)
+	case p.Phase == Assigned, p.Phase == Sent && !direct && (p.directOut > 0 || p.late):
+		if !l.startable(p) {
+			return out
+		}
+		p.Phase = Sent
+		if direct {
+			p.directOut++
+		} else {
+			p.sentSeq = p.Machine.Seq
+		}
+		out = append(out, start)
+	}
+	return out
+}
+
+// Tainted tells that only the end of the machine resolves what may arrive.
+func (l *Ledger) Tainted(m *Machine, now clock.Micros) bool {
+	for _, p := range m.places {
+		if p.stop && p.late && p.Phase == Sent && p.Job.Withdrawn && now-p.Job.WithdrawnAt > l.cfg.MayFence {
+			return true
+		}
+	}
+	return false
+}
+
+// Direct compiles a message to be sent straight to the worker: starts not yet
+// sent, and stops. One message to a worker is out at a time.
+func (l *Ledger) Direct(m *Machine, now clock.Micros) (*wire.Direct, []*Placement) {
+	if m.directs || !m.Synced || m.Addr == "" {
+		return nil, nil
+	}
+	var cmds []wire.Command
+	var starts []*Placement
+	for _, p := range m.places {
+		before := len(cmds)
+		cmds = l.order(cmds, p, now, true)
+		if len(cmds) > before && cmds[before].Op == wire.OpStart {
+			starts = append(starts, p)
+		}
+	}
+	if len(cmds) == 0 {
+		return nil, nil
+	}
+	m.directs = true
+	return &wire.Direct{Token: l.cfg.Token, Session: m.Session, Commands: cmds}, starts
+}
+
+// DirectResult is how a direct message ended.
+type DirectResult uint8
+
+const (
+	// NotSent: it certainly did not and will not arrive.
+	NotSent DirectResult = iota
+	// Executed: the worker has carried it out.
+	Executed
+	// Rejected: the worker has refused it whole.
+	Rejected
+	// Lost: nothing is known, and it may arrive at any time.
+	Lost
+)
+
+// DirectEnded takes the end of a direct message; a report that came with it
+// has to be given to Report afterwards.
+func (l *Ledger) DirectEnded(m *Machine, starts []*Placement, r DirectResult) {
+	m.directs = false
+	for _, p := range starts {
+		if m.places[p.id] != p {
+			// Ended meanwhile, say by an exit that a report showed. The attempt
+			// was held back from being forgotten while the message was out.
+			if r != Lost && !p.late {
+				delete(m.lateIDs, attemptKey{p.id, p.Attempt})
+			}
+			continue
+		}
+		p.directOut = max(0, p.directOut-1)
+		switch r {
+		case Lost:
+			p.late = true
+		case NotSent, Rejected:
+			if p.Phase == Sent && p.sentSeq == 0 && !p.late {
+				p.Phase = Assigned
+			}
+		case Executed:
+			// The report in the answer shows it.
+			if p.Phase == Sent {
+				p.sentSeq = m.Seq
+			}
+		}
+	}
+	if r != Executed {
+		for _, p := range m.places {
+			p.stopSent = 0
+		}
+	}
+}
+
+// LeaseEnd is when the machine's lease has provably run out, if nothing is
+// answered to it any more. The slack covers drift of both clocks.
+func (l *Ledger) LeaseEnd(m *Machine) clock.Micros {
+	return m.granted + l.cfg.Lease + l.cfg.Lease/500 + clock.Second
+}
+
+// Expire ends what was on a machine whose lease has run out. The machine has
+// to be heard anew before it gets anything.
+func (l *Ledger) Expire(m *Machine, now clock.Micros) bool {
+	if now < l.LeaseEnd(m) {
+		return false
+	}
+	m.Synced = false
+	// A report of the session that is over may still come, out of the network.
+	m.minSession = m.Session + 1
+	for _, p := range m.places {
+		p.late, p.directOut = false, 0
+		l.end(p, WhyVanished, now)
+	}
+	clear(m.lateIDs)
+	l.account(m)
+	return true
+}
+
+// MachineGone takes the cloud's word that a machine is gone.
+func (l *Ledger) MachineGone(m *Machine, now clock.Micros) {
+	for _, p := range m.places {
+		l.end(p, WhyVanished, now)
+	}
+	l.account(m)
+	delete(l.Machines, m.Name)
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,192 @@
+// Package peer owns the links between controllers: one-way beats in
+// FlatBuffers over TCP. A beat is advice only. Nothing that a rule rests on is
+// learnt from one, so a lost, late, repeated or forged beat costs time at most.
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/peer/fb"
+)
+
+//go:generate flatc --go peer.fbs
+
+// MaxFrame bounds a frame.
+const MaxFrame = 1 << 18
+
+// maxCounts bounds the jobs of one beat, so that it stays under MaxFrame.
+const maxCounts = 2000
+
+// Count is a job's progress, for display.
+type Count struct {
+	Job           string
+	Done, Running uint32
+}
+
+// Beat is one message.
+type Beat struct {
+	Member  string
+	Served  bool
+	Leader  string
+	Token   uint64
+	Workers uint32
+	Leaving bool
+	Counts  []Count
+}
+
+// Encode makes the frame of a beat.
+func Encode(b *Beat) []byte {
+	fbb := flatbuffers.NewBuilder(256)
+	counts := b.Counts
+	if len(counts) > maxCounts {
+		counts = counts[:maxCounts]
+	}
+	offs := make([]flatbuffers.UOffsetT, len(counts))
+	for i := range counts {
+		id := fbb.CreateString(counts[i].Job)
+		fb.CountStart(fbb)
+		fb.CountAddJob(fbb, id)
+		fb.CountAddDone(fbb, counts[i].Done)
+		fb.CountAddRunning(fbb, counts[i].Running)
+		offs[i] = fb.CountEnd(fbb)
+	}
+	fb.BeatStartCountsVector(fbb, len(offs))
+	for i := len(offs) - 1; i >= 0; i-- {
+		fbb.PrependUOffsetT(offs[i])
+	}
+	vec := fbb.EndVector(len(offs))
+	member, leader := fbb.CreateString(b.Member), fbb.CreateString(b.Leader)
+	fb.BeatStart(fbb)
+	fb.BeatAddMember(fbb, member)
+	fb.BeatAddServed(fbb, b.Served)
+	fb.BeatAddLeader(fbb, leader)
+	fb.BeatAddToken(fbb, b.Token)
+	fb.BeatAddWorkers(fbb, b.Workers)
+	fb.BeatAddLeaving(fbb, b.Leaving)
+	fb.BeatAddCounts(fbb, vec)
+	fbb.FinishSizePrefixed(fb.BeatEnd(fbb))
+	return fbb.FinishedBytes()
+}
+
+var errMalformed = errors.New("peer: malformed beat")
+
+// Decode reads one frame's content, without its size. FlatBuffers for Go has
+// no verifier: bytes that are no beat make its readers run out of the buffer,
+// and that must not end the process.
+func Decode(p []byte) (b *Beat, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			b, err = nil, fmt.Errorf("%w: %v", errMalformed, r)
+		}
+	}()
+	if len(p) < 8 {
+		return nil, errMalformed
+	}
+	r := fb.GetRootAsBeat(p, 0)
+	b = &Beat{
+		Member: string(r.Member()), Served: r.Served(), Leader: string(r.Leader()),
+		Token: r.Token(), Workers: r.Workers(), Leaving: r.Leaving(),
+	}
+	n := r.CountsLength()
+	if n > maxCounts || b.Member == "" {
+		return nil, errMalformed
+	}
+	var c fb.Count
+	for i := 0; i < n; i++ {
+		if !r.Counts(&c, i) {
+			return nil, errMalformed
+		}
+		b.Counts = append(b.Counts, Count{Job: string(c.Job()), Done: c.Done(), Running: c.Running()})
+	}
+	return b, nil
+}
+
+// Frames cuts a stream into frames.
+type Frames struct{ buf []byte }
+
+// Feed adds bytes and calls each for every whole frame.
+func (f *Frames) Feed(in []byte, each func(*Beat)) error {
+	f.buf = append(f.buf, in...)
+	for len(f.buf) >= 4 {
+		n := int(binary.LittleEndian.Uint32(f.buf))
+		if n < 8 || n > MaxFrame {
+			return errMalformed
+		}
+		if len(f.buf) < 4+n {
+			return nil
+		}
+		b, err := Decode(f.buf[4 : 4+n])
+		if err != nil {
+			return err
+		}
+		each(b)
+		f.buf = append(f.buf[:0], f.buf[4+n:]...)
+	}
+	return nil
+}
+
+// Link sends beats to one other controller. Only the newest waits: a beat that
+// was overtaken says nothing that the newer one does not.
+type Link struct {
+	addr string
+	mu   sync.Mutex
+	next []byte
+	wake chan struct{}
+}
+
+// NewLink starts a link.
+func NewLink(addr string) *Link {
+	l := &Link{addr: addr, wake: make(chan struct{}, 1)}
+	go l.run()
+	return l
+}
+
+// Send replaces what waits to be sent.
+func (l *Link) Send(frame []byte) {
+	l.mu.Lock()
+	l.next = frame
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+const (
+	dialTimeout  = 2 * clock.Second
+	writeTimeout = 3 * clock.Second
+	redialAfter  = 1 * clock.Second
+)
+
+func (l *Link) run() {
+	var c net.Conn
+	for range l.wake {
+		l.mu.Lock()
+		frame := l.next
+		l.mu.Unlock()
+		if c == nil {
+			var err error
+			if c, err = net.DialTimeout("tcp4", l.addr, dialTimeout.Duration()); err != nil {
+				c = nil
+				time.Sleep(redialAfter.Duration())
+				continue
+			}
+		}
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())); err == nil {
+			_, err = c.Write(frame)
+			if err == nil {
+				continue
+			}
+		}
+		c.Close()
+		c = nil
+	}
+}
--- /dev/null
+++ b/internal/planner/plan.go
@@ -0,0 +1,853 @@
+package planner
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sort"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/ledger"
+	"firwood.dev/firwood/wire"
+)
+
+// Pool is what the cloud rents from: a type, a zone, a kind.
+type Pool struct {
+	Type, Zone string
+	Spot       bool
+}
+
+// poolState is what refusals have taught of a pool.
+type poolState struct {
+	blockedUntil clock.Micros
+	refusals     int
+}
+
+// Hire is a rental under way: asked for, no names yet.
+type Hire struct {
+	Pool  Pool
+	Count int
+	At    clock.Micros
+}
+
+// Rent is a decision to rent.
+type Rent struct {
+	Pool  Pool
+	Count int
+}
+
+// Decision is what a plan wants done; placements are already in the ledger.
+type Decision struct {
+	Mark   []*ledger.Job
+	Rent   []Rent
+	Return []*ledger.Machine
+	// Spot and Ordinary tell how the spare targets came about.
+	Spot, Ordinary SpareReport
+	// Next is when to plan again at the latest, 0 if nothing is pending.
+	Unplaced int
+}
+
+// SpareReport is the record of one choice of a spare target.
+type SpareReport struct {
+	Gaps, Runs Verdict
+	Open       bool // the screen passed, the queue is empty, an arrival is recent
+	Cost       SpareCost
+}
+
+// Planner holds what is learnt.
+type Planner struct {
+	P     Params
+	Types map[string]wire.MachineType
+	Teams map[string]ledger.Team
+	Zones []string
+
+	runs     map[string]*RunTimes
+	spot     Demand
+	ordinary Demand
+	boots    map[string]*hdrhistogram.Histogram
+	pools    map[Pool]*poolState
+}
+
+// New makes a planner that has learnt nothing.
+func New(p Params, types []wire.MachineType, teams map[string]ledger.Team, zones []string) *Planner {
+	pl := &Planner{
+		P: p, Types: map[string]wire.MachineType{}, Teams: teams, Zones: zones,
+		runs: map[string]*RunTimes{}, boots: map[string]*hdrhistogram.Histogram{}, pools: map[Pool]*poolState{},
+	}
+	for _, t := range types {
+		pl.Types[t.Name] = t
+	}
+	return pl
+}
+
+// Class returns the run times of a class.
+func (pl *Planner) Class(name string) *RunTimes {
+	r := pl.runs[name]
+	if r == nil {
+		r = &RunTimes{}
+		pl.runs[name] = r
+	}
+	return r
+}
+
+func (pl *Planner) demand(j *ledger.Job) *Demand {
+	if j.Spec.Spot {
+		return &pl.spot
+	}
+	return &pl.ordinary
+}
+
+// Size is what a machine of a type holds.
+func (pl *Planner) Size(typ string) ledger.Resources {
+	t := pl.Types[typ]
+	return ledger.FromAmounts(t.CPUs, t.GPUs, t.MemoryGB)
+}
+
+// perMachine is how many tasks of a job a machine of a type holds.
+func (pl *Planner) perMachine(need ledger.Resources, typ string) int {
+	size := pl.Size(typ)
+	n := math.MaxInt32
+	for _, d := range [][2]int64{{need.CPU, size.CPU}, {need.GPU, size.GPU}, {need.Mem, size.Mem}} {
+		if d[0] > 0 {
+			n = min(n, int(d[1]/d[0]))
+		}
+	}
+	return n
+}
+
+// Machines is a job's need in machines of the type that holds most of it.
+func (pl *Planner) Machines(j *ledger.Job) int {
+	best := 0
+	for name := range pl.Types {
+		if j.Spec.Types == nil || slices.Contains(j.Spec.Types, name) {
+			best = max(best, pl.perMachine(j.Need, name))
+		}
+	}
+	if best == 0 {
+		return 1
+	}
+	return (len(j.Tasks) + best - 1) / best
+}
+
+// Arrived takes a new job.
+func (pl *Planner) Arrived(j *ledger.Job, now clock.Micros) {
+	pl.demand(j).Arrived(now, pl.Machines(j), &pl.P)
+}
+
+// Finished takes a task's run time.
+func (pl *Planner) Finished(j *ledger.Job, seconds float64, now clock.Micros) {
+	pl.Class(j.Spec.Class).Observe(j.Spec.EstimateS, seconds, pl.P.SmoothService)
+	pl.demand(j).Finished(now, seconds, &pl.P)
+}
+
+// Booted takes the time that a machine took to report.
+func (pl *Planner) Booted(typ string, d clock.Micros) {
+	h := pl.boots[typ]
+	if h == nil {
+		h = hdrhistogram.New(1, int64(3600*clock.Second/clock.Millisecond), 2)
+		pl.boots[typ] = h
+	}
+	// A value past the histogram's bound says no more than the bound does.
+	_ = h.RecordValue(min(max(int64(d/clock.Millisecond), 1), h.HighestTrackableValue()))
+}
+
+// BootTime is a learnt quantile of a type's boot time; before there are
+// samples it rests on the nominal figure.
+func (pl *Planner) BootTime(typ string, quantile float64) clock.Micros {
+	nominal := clock.FromSeconds(pl.Types[typ].BootS)
+	if h := pl.boots[typ]; h != nil && h.TotalCount() >= 8 {
+		return clock.Micros(h.ValueAtQuantile(quantile)) * clock.Millisecond
+	}
+	if quantile > 90 {
+		return nominal + nominal/2 // usually 0.6 to 1.5 times the figure
+	}
+	return nominal
+}
+
+// StuckAfter is how long a machine may boot before it is given up.
+func (pl *Planner) StuckAfter(typ string) clock.Micros {
+	return 2*pl.BootTime(typ, 95) + 2*clock.Second
+}
+
+// Refused takes an empty pool; it is left alone for a growing while.
+func (pl *Planner) Refused(p Pool, now clock.Micros) {
+	s := pl.pool(p)
+	s.refusals++
+	wait := min(clock.Second<<min(s.refusals, 5), 20*clock.Second)
+	s.blockedUntil = now + wait
+}
+
+// Granted takes how much of a rental was filled.
+func (pl *Planner) Granted(p Pool, asked, got int, now clock.Micros) {
+	s := pl.pool(p)
+	if got >= asked {
+		s.refusals, s.blockedUntil = 0, 0
+		return
+	}
+	pl.Refused(p, now)
+}
+
+func (pl *Planner) pool(p Pool) *poolState {
+	s := pl.pools[p]
+	if s == nil {
+		s = &poolState{}
+		pl.pools[p] = s
+	}
+	return s
+}
+
+// remaining predicts the rest of a placement's run, in seconds.
+func (pl *Planner) remaining(p *ledger.Placement, now clock.Micros) float64 {
+	if p.Job.Service() {
+		return math.Inf(1)
+	}
+	if p.Stopping() {
+		return 0.5
+	}
+	r := pl.Class(p.Job.Spec.Class)
+	if p.Started == 0 {
+		fetch := 0.0
+		if t, ok := pl.Types[p.Machine.Type]; ok && t.FetchGBPerS > 0 {
+			fetch = p.Job.Spec.ImageGB / t.FetchGBPerS
+		}
+		return fetch + r.Predict(p.Job.Spec.EstimateS)
+	}
+	return r.Remaining(p.Job.Spec.EstimateS, (now - p.Started).Seconds())
+}
+
+// entry is a waiting job in the order of the plan.
+type entry struct {
+	job   *ledger.Job
+	owed  bool
+	need  int
+	run   float64
+	tasks []int // waiting tasks that may be placed now
+	left  int   // of those, not placed by this plan
+	limit int   // of those, allowed by the team's limit
+}
+
+// owed tells which jobs fit into their team's guarantee together with the
+// team's earlier unfinished jobs.
+func (pl *Planner) owed(l *ledger.Ledger) map[*ledger.Job]bool {
+	byTeam := map[string][]*ledger.Job{}
+	for _, j := range l.Jobs {
+		if g := pl.Teams[j.Spec.Team]; !j.Withdrawn && !j.Complete() && (g.CPU > 0 || g.GPU > 0) {
+			byTeam[j.Spec.Team] = append(byTeam[j.Spec.Team], j)
+		}
+	}
+	out := map[*ledger.Job]bool{}
+	for team, jobs := range byTeam {
+		slices.SortFunc(jobs, func(a, b *ledger.Job) int {
+			return cmp.Or(cmp.Compare(a.Submitted, b.Submitted), cmp.Compare(a.Spec.ID, b.Spec.ID))
+		})
+		g := pl.Teams[team]
+		var sum ledger.Resources
+		for _, j := range jobs {
+			sum = sum.Add(j.Need.Times(len(j.Tasks)))
+			if (g.CPU == 0 && sum.CPU > 0) || sum.CPU > g.CPU || sum.GPU > g.GPU {
+				break
+			}
+			out[j] = true
+		}
+	}
+	return out
+}
+
+// queue lists the waiting jobs in SNF order, inside rank and guarantee.
+func (pl *Planner) queue(l *ledger.Ledger, owed map[*ledger.Job]bool, now clock.Micros) []*entry {
+	var q []*entry
+	for _, j := range l.Jobs {
+		if j.Withdrawn || j.WaitingCount() == 0 || j.WaitingCount() == j.Doubts() {
+			continue
+		}
+		e := &entry{job: j, owed: owed[j], need: 1, run: pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)}
+		if j.Gang() {
+			e.need = pl.Machines(j)
+			// A gang starts whole, or waits.
+			if j.Doubts() > 0 || j.Active() > 0 {
+				continue
+			}
+		}
+		held := false
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			if t.State != ledger.Waiting || t.Doubt || t.Place != nil {
+				continue
+			}
+			if t.NotBefore > now {
+				held = true
+				continue
+			}
+			e.tasks = append(e.tasks, i)
+		}
+		if len(e.tasks) == 0 || held && j.Gang() {
+			continue
+		}
+		e.left = len(e.tasks)
+		q = append(q, e)
+	}
+	slices.SortFunc(q, func(a, b *entry) int {
+		return cmp.Or(
+			cmp.Compare(a.job.Priority, b.job.Priority),
+			-cmp.Compare(btoi(a.owed), btoi(b.owed)),
+			cmp.Compare(a.need, b.need),
+			cmp.Compare(a.run, b.run),
+			cmp.Compare(a.job.Submitted, b.job.Submitted),
+			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+	})
+	return q
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// round is the working state of one plan.
+type round struct {
+	pl       *Planner
+	l        *ledger.Ledger
+	now      clock.Micros
+	machines []*ledger.Machine
+	held     map[*ledger.Machine]ledger.Resources // promised to jobs not yet marked
+	fetching map[*ledger.Machine]map[string]bool
+}
+
+func (r *round) free(m *ledger.Machine) ledger.Resources { return m.Free().Sub(r.held[m]) }
+
+// Plan places what fits, and works out what to rent and to give back.
+func (pl *Planner) Plan(l *ledger.Ledger, now clock.Micros, hires []Hire) Decision {
+	r := &round{pl: pl, l: l, now: now, held: map[*ledger.Machine]ledger.Resources{}, fetching: map[*ledger.Machine]map[string]bool{}}
+	for _, m := range l.Machines {
+		r.machines = append(r.machines, m)
+	}
+	slices.SortFunc(r.machines, func(a, b *ledger.Machine) int { return cmp.Compare(a.Name, b.Name) })
+	for _, m := range r.machines {
+		f := map[string]bool{}
+		m.Places(func(p *ledger.Placement) {
+			if p.Started == 0 && !p.Stopping() {
+				f[p.Job.Spec.Image] = true
+			}
+		})
+		r.fetching[m] = f
+	}
+	var d Decision
+	owed := pl.owed(l)
+	q := pl.queue(l, owed, now)
+	for _, e := range q {
+		e.limit = r.allowance(e.job)
+		var placed int
+		if e.job.Gang() {
+			placed = r.placeGang(e)
+		} else {
+			placed = r.placeTasks(e)
+		}
+		if placed > 0 && !e.job.Marked {
+			d.Mark = append(d.Mark, e.job)
+		}
+		e.left = min(e.left, e.limit) - placed
+		d.Unplaced += max(e.left, 0)
+	}
+	r.preempt(q, owed)
+	r.rent(q, hires, &d)
+	r.spares(q, hires, &d)
+	return d
+}
+
+// allowance is how many more tasks of a job its team's limit allows.
+func (r *round) allowance(j *ledger.Job) int {
+	g := r.pl.Teams[j.Spec.Team]
+	u := r.l.TeamUse(j.Spec.Team)
+	n := len(j.Tasks)
+	if g.CPUMax > 0 && j.Need.CPU > 0 {
+		n = min(n, int((g.CPUMax-u.CPU)/j.Need.CPU))
+	}
+	if g.GPUMax > 0 && j.Need.GPU > 0 {
+		n = min(n, int((g.GPUMax-u.GPU)/j.Need.GPU))
+	}
+	n = max(n, 0)
+	if j.Gang() && n < len(j.Tasks) {
+		return 0
+	}
+	return n
+}
+
+// score orders machines for a job: the kind that it should use, the image at
+// hand, then the fullest, so that others run empty and can be given back.
+func (r *round) score(j *ledger.Job, m *ledger.Machine) float64 {
+	s := 0.0
+	if j.Spec.Spot == m.Spot {
+		s += 100
+	}
+	if _, ok := m.Images[j.Spec.Image]; ok {
+		s += 20
+	} else if r.fetching[m][j.Spec.Image] {
+		s += 10
+	}
+	if n := j.ErrorsOn[m.Name]; n > 0 {
+		s -= 1000
+	}
+	if m.Cap.CPU > 0 {
+		s += 5 * float64(m.Used().CPU+r.held[m].CPU) / float64(m.Cap.CPU)
+	}
+	return s
+}
+
+// candidates lists the machines that a job may use now, best first.
+func (r *round) candidates(j *ledger.Job, usable func(*ledger.Machine) bool) []*ledger.Machine {
+	type scored struct {
+		m *ledger.Machine
+		s float64
+	}
+	var c []scored
+	for _, m := range r.machines {
+		if !usable(m) || !ledger.Allowed(j, m) {
+			continue
+		}
+		c = append(c, scored{m, r.score(j, m)})
+	}
+	sort.SliceStable(c, func(a, b int) bool { return c[a].s > c[b].s })
+	out := make([]*ledger.Machine, len(c))
+	for i := range c {
+		out[i] = c[i].m
+	}
+	return out
+}
+
+func (r *round) hold(m *ledger.Machine, need ledger.Resources) { r.held[m] = r.held[m].Add(need) }
+
+// placeTasks places independent tasks.
+func (r *round) placeTasks(e *entry) int {
+	j := e.job
+	most := min(len(e.tasks), e.limit)
+	if most <= 0 {
+		return 0
+	}
+	placed := 0
+	next := 0
+	zones := map[string]int{}
+	put := func(m *ledger.Machine) bool {
+		if !j.Need.Fits(r.free(m)) || j.Spec.Spread && j.InZone(m.Zone)+zones[m.Zone] >= j.SpreadLimit() {
+			return false
+		}
+		if !j.Marked {
+			// Its mark has to be durable first; the room is kept until then.
+			r.hold(m, j.Need)
+			zones[m.Zone]++
+		} else if r.l.Place(j, e.tasks[next], m, r.l.Attempt(), r.now) != nil {
+			return false
+		}
+		placed++
+		next++
+		return true
+	}
+	c := r.candidates(j, (*ledger.Machine).Usable)
+	if j.Spec.Spread {
+		// One by one, to the zone that has the fewest.
+		for placed < most {
+			slices.SortStableFunc(c, func(a, b *ledger.Machine) int {
+				return cmp.Compare(j.InZone(a.Zone)+zones[a.Zone], j.InZone(b.Zone)+zones[b.Zone])
+			})
+			if !slices.ContainsFunc(c, put) {
+				break
+			}
+		}
+		return placed
+	}
+	for _, m := range c {
+		for placed < most && put(m) {
+		}
+		if placed == most {
+			break
+		}
+	}
+	return placed
+}
+
+// placeGang places all tasks of a gang, or none.
+func (r *round) placeGang(e *entry) int {
+	j := e.job
+	if len(e.tasks) != len(j.Tasks) || e.limit < len(j.Tasks) {
+		return 0
+	}
+	try := func(zone string) []*ledger.Machine {
+		spots := make([]*ledger.Machine, 0, len(e.tasks))
+		zones := map[string]int{}
+		for _, m := range r.candidates(j, (*ledger.Machine).Usable) {
+			if zone != "" && m.Zone != zone {
+				continue
+			}
+			room := r.free(m)
+			for len(spots) < len(e.tasks) && j.Need.Fits(room) {
+				if j.Spec.Spread && zones[m.Zone] >= j.SpreadLimit() {
+					break
+				}
+				room = room.Sub(j.Need)
+				zones[m.Zone]++
+				spots = append(spots, m)
+			}
+		}
+		if len(spots) < len(e.tasks) {
+			return nil
+		}
+		return spots
+	}
+	var spots []*ledger.Machine
+	if j.Spec.OneZone {
+		for _, z := range r.pl.Zones {
+			if spots = try(z); spots != nil {
+				break
+			}
+		}
+	} else {
+		spots = try("")
+	}
+	if spots == nil {
+		return 0
+	}
+	if !j.Marked {
+		for _, m := range spots {
+			r.hold(m, j.Need)
+		}
+		return len(spots)
+	}
+	attempt := r.l.Attempt()
+	for k, m := range spots {
+		if r.l.Place(j, e.tasks[k], m, attempt, r.now) != nil {
+			r.l.StopJob(j, 0) // cannot start whole; what was decided is undone
+			return 0
+		}
+	}
+	return len(spots)
+}
+
+// preempt stops work to make room for jobs of higher rank, and for jobs that
+// their team's guarantee covers. What loses least goes first.
+func (r *round) preempt(q []*entry, owed map[*ledger.Job]bool) {
+	freeing := map[*ledger.Machine]ledger.Resources{}
+	for _, m := range r.machines {
+		m.Places(func(p *ledger.Placement) {
+			if p.Stopping() {
+				freeing[m] = freeing[m].Add(p.Job.Need)
+			}
+		})
+	}
+	claimed := map[*ledger.Machine]ledger.Resources{}
+	room := func(m *ledger.Machine) ledger.Resources {
+		return r.free(m).Add(freeing[m]).Sub(claimed[m])
+	}
+	for _, e := range q {
+		j := e.job
+		if e.left <= 0 || j.Gang() || j.Priority != 0 && !e.owed {
+			continue
+		}
+		mayStop := func(p *ledger.Placement) bool {
+			v := p.Job
+			if p.Stopping() || v.Gang() || v == j {
+				return false
+			}
+			return v.Priority > j.Priority || e.owed && !owed[v] && v.Spec.Team != j.Spec.Team && v.Priority >= j.Priority && !v.Service()
+		}
+		zones := map[string]int{}
+		for n := e.left; n > 0; n-- {
+			var best *ledger.Machine
+			var victims []*ledger.Placement
+			loss := math.Inf(1)
+			for _, m := range r.candidates(j, (*ledger.Machine).Usable) {
+				if j.Spec.Spread && j.InZone(m.Zone)+zones[m.Zone] >= j.SpreadLimit() {
+					continue
+				}
+				have := room(m)
+				var vs []*ledger.Placement
+				cost := 0.0
+				if !j.Need.Fits(have) {
+					m.Places(func(p *ledger.Placement) {
+						if mayStop(p) {
+							vs = append(vs, p)
+						}
+					})
+					slices.SortFunc(vs, func(a, b *ledger.Placement) int {
+						return cmp.Or(-cmp.Compare(a.Since, b.Since), cmp.Compare(a.Index, b.Index))
+					})
+					k := 0
+					for ; k < len(vs) && !j.Need.Fits(have); k++ {
+						have = have.Add(vs[k].Job.Need)
+						cost += (r.now - vs[k].Since).Seconds() * float64(vs[k].Job.Need.CPU)
+					}
+					vs = vs[:k]
+					if !j.Need.Fits(have) {
+						continue
+					}
+				}
+				if cost < loss {
+					best, victims, loss = m, vs, cost
+				}
+			}
+			if best == nil {
+				break
+			}
+			for _, p := range victims {
+				freeing[best] = freeing[best].Add(p.Job.Need)
+				r.l.Stop(p, 0)
+			}
+			claimed[best] = claimed[best].Add(j.Need)
+			zones[best.Zone]++
+			e.left--
+		}
+	}
+}
+
+// slot is a machine of the future: what will be free on it one boot time on.
+type slot struct {
+	pool    Pool
+	free    ledger.Resources
+	machine *ledger.Machine // nil if not there yet
+}
+
+// rent works out the shortfall: what waits is planned in order onto what will
+// be free within one boot time, and the rest is rented now.
+func (r *round) rent(q []*entry, hires []Hire, d *Decision) {
+	var slots []*slot
+	for _, m := range r.machines {
+		if m.Draining || m.TakenAt != 0 {
+			continue
+		}
+		s := &slot{pool: Pool{m.Type, m.Zone, m.Spot}, free: r.free(m), machine: m}
+		boot := r.pl.BootTime(m.Type, 50).Seconds()
+		if !m.Synced {
+			if m.UpAt == 0 && r.now-m.Since > r.pl.BootTime(m.Type, 95) || m.UpAt != 0 {
+				continue // overdue, or silent: not to be counted on
+			}
+		}
+		m.Places(func(p *ledger.Placement) {
+			if r.pl.remaining(p, r.now) <= boot {
+				s.free = s.free.Add(p.Job.Need)
+			}
+		})
+		slots = append(slots, s)
+	}
+	for _, h := range hires {
+		for i := 0; i < h.Count; i++ {
+			slots = append(slots, &slot{pool: h.Pool, free: r.pl.Size(h.Pool.Type)})
+		}
+	}
+	count := map[Pool]int{}
+	for _, s := range slots {
+		count[s.pool]++
+	}
+	rents := map[Pool]int{}
+	for _, e := range q {
+		j := e.job
+		if e.left <= 0 {
+			continue
+		}
+		zones := map[string]int{}
+		n := e.left
+		fits := func(s *slot) bool {
+			p := s.pool
+			if !poolAllowed(j, p) || !j.Need.Fits(s.free) {
+				return false
+			}
+			return !j.Spec.Spread || j.InZone(p.Zone)+zones[p.Zone] < j.SpreadLimit()
+		}
+		take := func(s *slot) {
+			s.free = s.free.Sub(j.Need)
+			zones[s.pool.Zone]++
+			n--
+		}
+		for _, s := range slots {
+			for n > 0 && fits(s) {
+				take(s)
+			}
+		}
+		for n > 0 {
+			p, ok := r.bestPool(j, zones, count)
+			if !ok {
+				break
+			}
+			s := &slot{pool: p, free: r.pl.Size(p.Type)}
+			if !fits(s) {
+				break
+			}
+			slots = append(slots, s)
+			count[p]++
+			rents[p]++
+			for n > 0 && fits(s) {
+				take(s)
+			}
+		}
+	}
+	for p, n := range rents {
+		d.Rent = append(d.Rent, Rent{p, min(n, wire.MaxHire)})
+	}
+}
+
+func poolAllowed(j *ledger.Job, p Pool) bool {
+	s := j.Spec
+	if p.Spot && !s.Spot || s.Zone != "" && s.Zone != p.Zone || s.Types != nil && !slices.Contains(s.Types, p.Type) {
+		return false
+	}
+	if s.OneZone {
+		if z, ok := j.OnlyZone(); ok && z != p.Zone {
+			return false
+		}
+	}
+	return true
+}
+
+// bestPool picks where to rent one more machine for a job: the cheapest by
+// task, then the zone with the fewest machines, so that a loss hits little.
+func (r *round) bestPool(j *ledger.Job, zones map[string]int, count map[Pool]int) (Pool, bool) {
+	var best Pool
+	var cost float64
+	found := false
+	for name, t := range r.pl.Types {
+		per := r.pl.perMachine(j.Need, name)
+		if per == 0 {
+			continue
+		}
+		for _, z := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				p := Pool{name, z, spot}
+				if !poolAllowed(j, p) || r.now < r.pl.pool(p).blockedUntil {
+					continue
+				}
+				if j.Spec.Spread && j.InZone(z)+zones[z] >= j.SpreadLimit() {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				c := price/float64(per) + 1e-6*float64(count[p])
+				if !found || c < cost || c == cost && less(p, best) {
+					best, cost, found = p, c, true
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+func less(a, b Pool) bool {
+	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Type, b.Type)) < 0
+}
+
+// spares chooses the spare target of each kind, rents what it lacks, and gives
+// back what has been idle for long and is not wanted.
+func (r *round) spares(q []*entry, hires []Hire, d *Decision) {
+	keep := 0
+	d.Spot, keep = r.spareTarget(&r.pl.spot, true, q, hires, d)
+	r.giveBack(true, keep, d)
+	d.Ordinary, keep = r.spareTarget(&r.pl.ordinary, false, q, hires, d)
+	r.giveBack(false, keep, d)
+}
+
+func (r *round) spareTarget(dm *Demand, spot bool, q []*entry, hires []Hire, d *Decision) (SpareReport, int) {
+	p := &r.pl.P
+	rep := SpareReport{Gaps: dm.Gaps.Screen(p, r.now), Runs: dm.Runs.Screen(p, r.now)}
+	empty := !slices.ContainsFunc(q, func(e *entry) bool { return e.job.Spec.Spot == spot && e.left > 0 })
+	services := !spot && rep.Runs.N == 0
+	rep.Open = rep.Gaps.OK && (rep.Runs.OK || services) && empty && dm.Recent(r.now, p)
+	if !rep.Open {
+		return rep, 0
+	}
+	in := SpareInput{Lambda: dm.Rate(), Needs: dm.needs, Horizon: min(p.Horizon, p.IdleWait).Seconds()}
+	var spare float64
+	nearest := math.Inf(1)
+	typ := ""
+	for _, m := range r.machines {
+		if m.Spot != spot || m.Draining || m.TakenAt != 0 {
+			continue
+		}
+		typ = m.Type
+		switch {
+		case m.Usable():
+			spare += float64(r.free(m).CPU) / float64(max(m.Cap.CPU, 1))
+		case m.UpAt == 0:
+			in.Booting = append(in.Booting, max((r.pl.BootTime(m.Type, 50)-(r.now-m.Since)).Seconds(), 0))
+		}
+		m.Places(func(pc *ledger.Placement) { nearest = min(nearest, r.pl.remaining(pc, r.now)) })
+	}
+	pool, ok := r.sparePool(spot, d)
+	if typ == "" {
+		typ = pool.Type
+	}
+	in.BootS = r.pl.BootTime(typ, 50).Seconds()
+	for _, h := range hires {
+		if h.Pool.Spot == spot {
+			for i := 0; i < h.Count; i++ {
+				in.Booting = append(in.Booting, in.BootS)
+			}
+		}
+	}
+	in.Ready = int(spare)
+	if nearest > 0 && !math.IsInf(nearest, 1) {
+		in.LambdaC = 1 / nearest
+	}
+	rep.Cost = in.Choose(p.SpareMin, p.SpareMax, p.Alpha, p.Beta)
+	if lack := rep.Cost.X - in.Ready - len(in.Booting); lack > 0 && ok {
+		d.Rent = append(d.Rent, Rent{pool, lack})
+	}
+	return rep, rep.Cost.X
+}
+
+// sparePool picks where a spare machine is rented.
+func (r *round) sparePool(spot bool, d *Decision) (Pool, bool) {
+	count := map[Pool]int{}
+	for _, m := range r.machines {
+		count[Pool{m.Type, m.Zone, m.Spot}]++
+	}
+	var best Pool
+	found := false
+	for name, t := range r.pl.Types {
+		for _, z := range t.Zones {
+			p := Pool{name, z, spot}
+			if r.now < r.pl.pool(p).blockedUntil {
+				continue
+			}
+			if !found || count[p] < count[best] || count[p] == count[best] && less(p, best) {
+				best, found = p, true
+			}
+		}
+	}
+	return best, found
+}
+
+// giveBack returns machines that have been idle for the wait, but for those
+// that the spare target keeps.
+func (r *round) giveBack(spot bool, keep int, d *Decision) {
+	var idle []*ledger.Machine
+	for _, m := range r.machines {
+		if m.Spot == spot && m.Usable() && m.Idle() && r.held[m] == (ledger.Resources{}) {
+			idle = append(idle, m)
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b *ledger.Machine) int { return -cmp.Compare(a.IdleAt, b.IdleAt) })
+	for i, m := range idle {
+		if i >= keep && r.now-max(m.IdleAt, m.UpAt) >= r.pl.P.IdleWait {
+			d.Return = append(d.Return, m)
+		}
+	}
+}
+
+// SetTypes takes what the cloud has on offer.
+func (pl *Planner) SetTypes(types []wire.MachineType) {
+	pl.Types = map[string]wire.MachineType{}
+	for _, t := range types {
+		pl.Types[t.Name] = t
+	}
+}
+
+// Ends predicts how long a placement will still run.
+func (pl *Planner) Ends(p *ledger.Placement, now clock.Micros) clock.Micros {
+	r := pl.remaining(p, now)
+	if math.IsInf(r, 1) || r > 1e6 {
+		return math.MaxInt64
+	}
+	return clock.FromSeconds(r)
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,342 @@
+// Package server owns the listeners: evio's event loop, the framing of
+// connections, the routes. It decodes requests and hands them on; replies may
+// come at any time from any goroutine.
+package server
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tidwall/evio"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/http1"
+	"firwood.dev/firwood/internal/peer"
+	"firwood.dev/firwood/wire"
+)
+
+// App is what the routes lead to. Its methods must not block.
+type App interface {
+	Submit(j *wire.Job, r *Reply)
+	Show(id string, r *Reply)
+	Withdraw(id string, r *Reply)
+	Checkin(rep *wire.Report, r *Reply)
+	Up() bool
+	Morning(r *Reply)
+	Beat(b *peer.Beat)
+}
+
+// Config holds addresses and bounds.
+type Config struct {
+	Serve, Peer string
+	// MaxConns bounds incoming connections.
+	MaxConns int
+	// Idle bounds how long a connection may lie idle, Half how long a request
+	// may take to arrive.
+	Idle, Half clock.Micros
+}
+
+// Server serves an App.
+type Server struct {
+	cfg   Config
+	app   App
+	log   *slog.Logger
+	conns map[*conn]struct{} // owned by the event loop
+}
+
+// conn is one connection. Its parser belongs to the event loop; out is shared.
+type conn struct {
+	ev     evio.Conn
+	parser *http1.Parser
+	frames *peer.Frames
+	since  clock.Micros // when the present state began: idle, or half a request
+	busy   bool         // a request is being worked on
+	last   bool         // the peer will close after this answer
+
+	mu    sync.Mutex
+	ready *answer
+	drop  bool
+}
+
+type answer struct {
+	status, retry int
+	body          []byte
+	until         clock.Micros
+}
+
+// Reply takes the answer to one request.
+type Reply struct {
+	c  *conn
+	At clock.Micros // when the request had arrived
+}
+
+// Send answers. It may be called once, from any goroutine.
+func (r *Reply) Send(status int, body []byte, retryAfter int) {
+	r.SendUntil(status, body, retryAfter, 0)
+}
+
+// SendUntil answers unless the instant has passed when the answer is written:
+// then 503 goes out in its place.
+func (r *Reply) SendUntil(status int, body []byte, retryAfter int, until clock.Micros) {
+	if r.c == nil {
+		return
+	}
+	r.c.mu.Lock()
+	r.c.ready = &answer{status, retryAfter, body, until}
+	r.c.mu.Unlock()
+	r.c.ev.Wake()
+}
+
+// New makes a server.
+func New(cfg Config, app App, log *slog.Logger) *Server {
+	return &Server{cfg: cfg, app: app, log: log, conns: map[*conn]struct{}{}}
+}
+
+// Run serves until the listeners fail, and begins anew then: one failed accept
+// ends evio's loop, and that must not end the process.
+func (s *Server) Run() error {
+	failed := 0
+	for {
+		began := clock.Now()
+		s.conns = map[*conn]struct{}{}
+		err := evio.Serve(s.events(), "tcp://"+s.cfg.Serve, "tcp://"+s.cfg.Peer)
+		s.log.Error("listeners ended", "error", err)
+		if clock.Now()-began > 10*clock.Second {
+			failed = 0
+		}
+		if failed++; failed > 20 {
+			return fmt.Errorf("server: listeners cannot be kept open: %w", err)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func (s *Server) events() evio.Events {
+	return evio.Events{
+		NumLoops: 1,
+		Opened:   s.opened,
+		Closed:   s.closed,
+		Data:     s.data,
+		Tick:     s.tick,
+	}
+}
+
+func (s *Server) opened(c evio.Conn) ([]byte, evio.Options, evio.Action) {
+	opts := evio.Options{ReuseInputBuffer: true}
+	if len(s.conns) >= s.cfg.MaxConns {
+		return nil, opts, evio.Close
+	}
+	k := &conn{ev: c, since: clock.Now()}
+	if c.AddrIndex() == 1 {
+		k.frames = &peer.Frames{}
+	} else {
+		k.parser = http1.NewRequestParser(http1.DefaultLimits)
+	}
+	c.SetContext(k)
+	s.conns[k] = struct{}{}
+	return nil, opts, evio.None
+}
+
+func (s *Server) closed(c evio.Conn, _ error) evio.Action {
+	if k, ok := c.Context().(*conn); ok {
+		delete(s.conns, k)
+	}
+	return evio.None
+}
+
+// tick closes what lies idle, sooner when sockets run short.
+func (s *Server) tick() (time.Duration, evio.Action) {
+	now := clock.Now()
+	idle := s.cfg.Idle
+	if len(s.conns) > s.cfg.MaxConns*3/4 {
+		idle = min(idle, s.cfg.Half)
+	}
+	for k := range s.conns {
+		limit := idle
+		if k.parser != nil && !k.parser.Idle() {
+			limit = s.cfg.Half
+		}
+		if !k.busy && now-k.since > limit {
+			k.mu.Lock()
+			k.drop = true
+			k.mu.Unlock()
+			k.ev.Wake()
+		}
+	}
+	return time.Second, evio.None
+}
+
+// maxWaiting bounds what a client may send while its request is worked on.
+const maxWaiting = 128 << 10
+
+func (s *Server) data(c evio.Conn, in []byte) ([]byte, evio.Action) {
+	k, ok := c.Context().(*conn)
+	if !ok {
+		return nil, evio.Close
+	}
+	if k.frames != nil {
+		k.since = clock.Now()
+		if k.drop {
+			return nil, evio.Close
+		}
+		if err := k.frames.Feed(in, s.app.Beat); err != nil {
+			s.log.Debug("peer link dropped", "error", err)
+			return nil, evio.Close
+		}
+		return nil, evio.None
+	}
+	var out []byte
+	k.mu.Lock()
+	a, drop := k.ready, k.drop
+	k.ready = nil
+	k.mu.Unlock()
+	if drop && a == nil && !k.busy {
+		return nil, evio.Close
+	}
+	if len(in) > 0 {
+		if k.parser.Idle() {
+			k.since = clock.Now()
+		}
+		k.parser.Feed(in)
+		if k.busy && k.parser.Held() > maxWaiting {
+			return nil, evio.Close
+		}
+	}
+	if a != nil {
+		out = s.write(out, k, a)
+		k.busy = false
+		k.since = clock.Now()
+		if k.last {
+			return out, evio.Close
+		}
+	}
+	for !k.busy {
+		m, err := k.parser.Next()
+		if err != nil {
+			status := 400
+			if he, ok := err.(*http1.Error); ok {
+				status = he.Status
+			}
+			return http1.AppendResponse(out, status, errorBody(err.Error()), 0, true), evio.Close
+		}
+		if k.parser.WantsContinue() {
+			out = append(out, "HTTP/1.1 100 Continue\r\n\r\n"...)
+		}
+		if m == nil {
+			break
+		}
+		k.busy, k.last = true, m.Close
+		s.route(k, m)
+		// A route that answered at once has done so by now.
+		k.mu.Lock()
+		a = k.ready
+		k.ready = nil
+		k.mu.Unlock()
+		if a != nil {
+			out = s.write(out, k, a)
+			k.busy = false
+			if k.last {
+				return out, evio.Close
+			}
+		}
+	}
+	return out, evio.None
+}
+
+func (s *Server) write(out []byte, k *conn, a *answer) []byte {
+	if a.until != 0 && clock.Now() >= a.until {
+		a = &answer{status: 503, retry: 1, body: errorBody("no longer entitled to answer")}
+	}
+	return http1.AppendResponse(out, a.status, a.body, a.retry, k.last)
+}
+
+func errorBody(text string) []byte {
+	b, err := wire.ErrorBody{Error: text}.MarshalJSON()
+	if err != nil {
+		return []byte("{}")
+	}
+	return b
+}
+
+// ErrorBody is the body of a refusal.
+func ErrorBody(text string) []byte { return errorBody(text) }
+
+// answerNow is an answer given on the event loop itself: no wake is needed.
+func (k *conn) answerNow(status int, body []byte) {
+	k.mu.Lock()
+	k.ready = &answer{status: status, body: body}
+	k.mu.Unlock()
+}
+
+func (s *Server) route(k *conn, m *http1.Message) {
+	path, _, _ := strings.Cut(m.Target, "?")
+	r := &Reply{c: k, At: clock.Now()}
+	need := func(method string) bool {
+		if m.Method != method {
+			k.answerNow(405, errorBody("method not allowed"))
+			return false
+		}
+		return true
+	}
+	switch {
+	case path == "/checkin":
+		if !need("POST") {
+			return
+		}
+		rep := &wire.Report{}
+		if err := rep.UnmarshalJSON(m.Body); err != nil || rep.Machine == "" {
+			k.answerNow(400, errorBody("malformed report"))
+			return
+		}
+		s.app.Checkin(rep, r)
+	case path == "/up":
+		if !need("GET") {
+			return
+		}
+		if s.app.Up() {
+			k.answerNow(200, []byte(`{"up":true}`))
+		} else {
+			k.answerNow(503, []byte(`{"up":false}`))
+		}
+	case path == "/api/jobs":
+		if !need("POST") {
+			return
+		}
+		j, err := wire.DecodeJob(m.Body)
+		if err != nil {
+			k.answerNow(400, errorBody(err.Error()))
+			return
+		}
+		s.app.Submit(j, r)
+	case strings.HasPrefix(path, "/api/jobs/"):
+		id := path[len("/api/jobs/"):]
+		if rest, ok := strings.CutSuffix(id, "/withdraw"); ok {
+			if !need("POST") {
+				return
+			}
+			if !wire.ValidJobID(rest) {
+				k.answerNow(404, errorBody("no such job"))
+				return
+			}
+			s.app.Withdraw(rest, r)
+			return
+		}
+		if !need("GET") {
+			return
+		}
+		if !wire.ValidJobID(id) {
+			k.answerNow(404, errorBody("no such job"))
+			return
+		}
+		s.app.Show(id, r)
+	case path == "/ops/v1/report":
+		if need("GET") {
+			s.app.Morning(r)
+		}
+	default:
+		k.answerNow(404, errorBody("no such path"))
+	}
+}
