Hires few at a time and in order of need; entitlement asked at the send

Hires queued for the cloud's rate carried the entitlement of the moment they were decided, and were dropped as too late when their turn came; their order was that of a map. Now the entitlement is asked right before the write, and at most four hires are under way, in the order of the plan.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -91,8 +91,9 @@
 	Method, Target string
 	Body           []byte
 	Timeout        clock.Micros
-	// Until, if not 0, is the last instant at which the request may be sent.
-	Until clock.Micros
+	// Until, if not nil, tells the last instant at which the request may be
+	// sent; it is asked right before the write.
+	Until func() clock.Micros
 	// Fresh asks for a new connection.
 	Fresh bool
 }
@@ -128,7 +129,7 @@
 	out := http1.AppendRequest(make([]byte, 0, 160+len(r.Body)), r.Method, r.Target, host, r.Body)
 	// The check comes last before the write: a process that was paused between
 	// the decision and this line must not act on an entitlement that is over.
-	if r.Until != 0 && clock.Now() >= r.Until {
+	if r.Until != nil && clock.Now() >= r.Until() {
 		return nil, ErrLate
 	}
 	if _, err := c.c.Write(out); err != nil {
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -47,7 +47,7 @@
 	c.budget.SetRate(r, max(2*r, 1))
 }
 
-func (c *Client) call(method, target string, body []byte, until clock.Micros) ([]byte, error) {
+func (c *Client) call(method, target string, body []byte, until func() clock.Micros) ([]byte, error) {
 	c.budget.Wait(1)
 	m, err := c.host.Do(client.Request{Method: method, Target: target, Body: body, Timeout: timeout, Until: until})
 	if err != nil {
@@ -73,7 +73,7 @@
 
 // Types asks what is on offer.
 func (c *Client) Types() ([]wire.MachineType, error) {
-	b, err := c.call("GET", "/flavors", nil, 0)
+	b, err := c.call("GET", "/flavors", nil, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -89,8 +89,8 @@
 	return t.Types, nil
 }
 
-// Hire rents machines; until is the last instant at which it may be sent.
-func (c *Client) Hire(h wire.Hire, until clock.Micros) ([]string, error) {
+// Hire rents machines; until tells the last instant at which it may be sent.
+func (c *Client) Hire(h wire.Hire, until func() clock.Micros) ([]string, error) {
 	body, err := h.MarshalJSON()
 	if err != nil {
 		return nil, err
@@ -107,7 +107,7 @@
 }
 
 // Delete returns machines. Once it returns nil they are gone.
-func (c *Client) Delete(names []string, until clock.Micros) error {
+func (c *Client) Delete(names []string, until func() clock.Micros) error {
 	body, err := wire.Machines{Machines: names}.MarshalJSON()
 	if err != nil {
 		return err
@@ -125,7 +125,7 @@
 		if after != "" {
 			target += "&since=" + url.QueryEscape(after)
 		}
-		b, err := c.call("GET", target, nil, 0)
+		b, err := c.call("GET", target, nil, nil)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -252,7 +252,7 @@
 		return
 	}
 	c.log.Info("lead given up", "why", why, "token", c.lead.token)
-	c.lead.closed = true
+	c.lead.close()
 	c.lead = nil
 	c.rebuilding = false
 	c.applyShares()
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"firwood.dev/firwood/internal/client"
@@ -25,6 +26,8 @@
 	lg     *ledger.Ledger
 	pl     *planner.Planner
 	closed bool
+	// deadline is the end of the entitlement, 0 once closed.
+	deadline atomic.Int64
 	since  clock.Micros
 
 	hires    map[string]*hire
@@ -98,6 +101,7 @@
 		Horizon: clock.FromSeconds(t.HorizonS),
 	}, c.types, c.teams, d.Zones)
 	l.listAt = now + 2*clock.Second
+	l.renew()
 
 	wall := clock.Wall()
 	for name, rec := range c.view.hires {
@@ -162,8 +166,17 @@
 	}
 }
 
-// until is the end of the entitlement to act.
-func (l *lead) until() clock.Micros { return l.c.el.Until() }
+// until is the end of the entitlement to act. Unlike the rest it may be asked
+// on any goroutine, right before something is sent.
+func (l *lead) until() clock.Micros { return clock.Micros(l.deadline.Load()) }
+
+// renew takes over the election's view of the entitlement.
+func (l *lead) renew() { l.deadline.Store(int64(l.c.el.Until())) }
+
+func (l *lead) close() {
+	l.closed = true
+	l.deadline.Store(0)
+}
 
 func (l *lead) checkin(rep *wire.Report, r *server.Reply) {
 	now := clock.Now()
@@ -262,6 +275,7 @@
 func (l *lead) drain(m *ledger.Machine) { m.Draining = true }
 
 func (l *lead) tick(now clock.Micros) {
+	l.renew()
 	if !l.c.entitled() {
 		return // nothing may be sent; the lock may yet be renewed
 	}
@@ -297,6 +311,12 @@
 		l.mark(j)
 	}
 	for _, r := range d.Rent {
+		// Few at a time: the cloud takes few requests a second, and what is
+		// asked for next should rest on how these were answered.
+		if len(pending) >= hiresAtOnce {
+			break
+		}
+		pending = append(pending, planner.Hire{})
 		l.rent(r, now)
 	}
 	for _, m := range d.Return {
@@ -312,6 +332,9 @@
 	}
 }
 
+// hiresAtOnce bounds the rentals under way.
+const hiresAtOnce = 4
+
 // mark makes it durable that tasks of the job may be started from now on: a
 // later leader then knows for which jobs it has to look, and that no other
 // job's tasks can be anywhere.
@@ -583,10 +606,9 @@
 		l.after(300*clock.Millisecond, func() { l.sendHire(h) })
 		return
 	}
-	until := l.until()
 	req := wire.Hire{Request: h.name, Type: h.rec.Type, Zone: h.rec.Zone, Spot: h.rec.Spot, Count: h.rec.Count}
 	go func() {
-		names, err := l.c.cloud.Hire(req, until)
+		names, err := l.c.cloud.Hire(req, l.until)
 		l.c.post(func() {
 			if !l.closed {
 				l.hired(h, names, err)
@@ -602,6 +624,7 @@
 	switch {
 	case err == nil:
 		l.pl.Granted(pool, h.rec.Count, len(names), now)
+		l.c.log.Debug("hired", "hire", h.name, "zone", h.rec.Zone, "spot", h.rec.Spot, "asked", h.rec.Count, "got", len(names))
 		h.resolved, h.rec.Resolved, h.rec.Machines = true, true, names
 		for _, n := range names {
 			delete(l.unknown, n)
@@ -620,6 +643,7 @@
 		})
 	case errors.Is(err, cloud.ErrNoCapacity), errors.Is(err, cloud.ErrBad):
 		l.pl.Refused(pool, now)
+		l.c.log.Debug("nothing to hire", "hire", h.name, "zone", h.rec.Zone, "spot", h.rec.Spot, "error", err)
 		h.resolved, h.rec.Resolved = true, true
 		l.recordHire(h, func() {})
 	default:
@@ -647,9 +671,8 @@
 	batch := slices.Clone(l.deletes[:n])
 	l.deletes = slices.Delete(l.deletes, 0, n)
 	l.deleteBusy = true
-	until := l.until()
 	go func() {
-		err := l.c.cloud.Delete(batch, until)
+		err := l.c.cloud.Delete(batch, l.until)
 		l.c.post(func() {
 			if !l.closed {
 				l.deleted(batch, err)
@@ -855,9 +878,9 @@
 		if a.host == nil {
 			a.host = client.NewHost(m.Addr, 1, 4*wire.MaxBody)
 		}
-		host, until := a.host, l.until()
+		host := a.host
 		go func() {
-			res, err := host.Do(client.Request{Method: "POST", Target: "/commands", Body: body, Timeout: directTimeout, Until: until})
+			res, err := host.Do(client.Request{Method: "POST", Target: "/commands", Body: body, Timeout: directTimeout, Until: l.until})
 			result := ledger.Lost
 			var rep *wire.Report
 			var se *client.SendError
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -639,7 +639,7 @@
 	for _, s := range slots {
 		count[s.pool]++
 	}
-	rents := map[Pool]int{}
+	var rents []*Rent // in the order of need
 	for _, e := range q {
 		j := e.job
 		if e.left <= 0 {
@@ -675,14 +675,19 @@
 			}
 			slots = append(slots, s)
 			count[p]++
-			rents[p]++
+			i := slices.IndexFunc(rents, func(r *Rent) bool { return r.Pool == p })
+			if i < 0 {
+				i = len(rents)
+				rents = append(rents, &Rent{Pool: p})
+			}
+			rents[i].Count++
 			for n > 0 && fits(s) {
 				take(s)
 			}
 		}
 	}
-	for p, n := range rents {
-		d.Rent = append(d.Rent, Rent{p, min(n, wire.MaxHire)})
+	for _, r := range rents {
+		d.Rent = append(d.Rent, Rent{r.Pool, min(r.Count, wire.MaxHire)})
 	}
 }
 
