--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -28,7 +28,7 @@
 	closed bool
 	// deadline is the end of the entitlement, 0 once closed.
 	deadline atomic.Int64
-	since  clock.Micros
+	since    clock.Micros
 
 	hires    map[string]*hire
 	machines map[string]*machineAux
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,587 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/wire"
+)
+
+// The history test plays workers as the protocol describes them against
+// ledgers of successive leaders: messages are lost, held back and delivered
+// late, machines die, leaders change. What a worker does is checked against
+// the rules, not against the ledger.
+
+const testLease = 30 * clock.Second
+
+type fakeTask struct {
+	attempt uint64
+	state   string
+	why     string
+}
+
+type fakeWorker struct {
+	name, zone  string
+	session     uint64
+	seq         uint64
+	token       uint64
+	leaseFrom   clock.Micros
+	tasks       map[string]*fakeTask
+	gone        bool
+	hung        bool
+	lastOrders  *wire.Reply
+	lastSession uint64
+}
+
+type heldDirect struct {
+	worker *fakeWorker
+	msg    *wire.Direct
+	ledger *Ledger // that sent it and still waits for the answer
+	m      *Machine
+	starts []*Placement
+}
+
+type world struct {
+	t       *testing.T
+	seed    uint64
+	rng     *rand.Rand
+	now     clock.Micros
+	workers []*fakeWorker
+	lg      *Ledger
+	token   uint64
+	ids     []string
+	specs   map[string]*wire.Job
+	marked  map[string]bool
+	done    map[string]map[int]bool
+	over    map[string]bool
+	held    []heldDirect
+	limit   int64
+	starts  int
+}
+
+func (w *world) fatal(format string, args ...any) {
+	w.t.Helper()
+	w.t.Fatalf("history %d: "+format, append([]any{w.seed}, args...)...)
+}
+
+func (w *world) newWorker() *fakeWorker {
+	i := len(w.workers)
+	k := &fakeWorker{name: fmt.Sprintf("i-%d", i), zone: []string{"x", "y"}[i%2], session: 1, leaseFrom: w.now, tasks: map[string]*fakeTask{}}
+	w.workers = append(w.workers, k)
+	return k
+}
+
+func (w *world) newJob() *wire.Job {
+	i := len(w.ids)
+	id := fmt.Sprintf("req-%06d", i)
+	s := &wire.Job{
+		ID: id, Class: "c", Team: []string{"a", "b"}[i%2], Priority: wire.PriorityNormal, Tasks: 2 + i%2, CPUs: 1, Image: "i",
+		Kind: []string{wire.KindArray, wire.KindService, wire.KindArray}[i%3],
+	}
+	switch i % 4 {
+	case 0:
+		s.Spread = true
+	case 1:
+		s.OneZone = true
+	case 2:
+		s.Zone = "y"
+	}
+	w.ids = append(w.ids, id)
+	w.specs[id] = s
+	w.done[id] = map[int]bool{}
+	return s
+}
+
+func (w *world) on(id string) *fakeWorker {
+	for _, k := range w.workers {
+		if t := k.tasks[id]; t != nil && t.state != wire.TaskExited && !k.gone {
+			return k
+		}
+	}
+	return nil
+}
+
+func (w *world) expire(k *fakeWorker) {
+	if !k.gone && w.now-k.leaseFrom > testLease {
+		k.session++
+		k.leaseFrom = w.now
+		k.tasks = map[string]*fakeTask{}
+	}
+}
+
+func (w *world) exec(k *fakeWorker, cmds []wire.Command) {
+	for _, c := range cmds {
+		job, i, ok := wire.ParseTaskID(c.Task)
+		if !ok {
+			w.fatal("bad task id %q", c.Task)
+		}
+		t := k.tasks[c.Task]
+		switch c.Op {
+		case wire.OpStart:
+			switch {
+			case t == nil:
+				if other := w.on(c.Task); other != nil {
+					w.fatal("ran twice: %s starts on %s while on %s", c.Task, k.name, other.name)
+				}
+				spec := w.specs[job]
+				if spec.Zone != "" && spec.Zone != k.zone {
+					w.fatal("wrong place: %s in %s", c.Task, k.zone)
+				}
+				inZone, elsewhere := 0, 0
+				for n := 0; n < spec.Tasks; n++ {
+					if o := w.on(wire.TaskID(job, n)); o != nil {
+						if o.zone == k.zone {
+							inZone++
+						} else {
+							elsewhere++
+						}
+					}
+				}
+				if spec.OneZone && elsewhere > 0 {
+					w.fatal("one zone: %s", c.Task)
+				}
+				if spec.Spread && inZone+1 > (spec.Tasks+1)/2 {
+					w.fatal("spread: %s", c.Task)
+				}
+				k.tasks[c.Task] = &fakeTask{attempt: c.Attempt, state: wire.TaskRunning}
+				if w.done[job][i] {
+					k.tasks[c.Task].state, k.tasks[c.Task].why = wire.TaskExited, wire.WhyDone
+				}
+				w.starts++
+				w.checkLimits()
+			case t.attempt == c.Attempt:
+			case t.state == wire.TaskExited:
+				w.fatal("started beside a listed attempt: %s", c.Task)
+			}
+		case wire.OpStop:
+			if t != nil && t.attempt == c.Attempt && t.state != wire.TaskExited {
+				t.state, t.why = wire.TaskExited, wire.WhyStopped
+			}
+		case wire.OpForget:
+			if t != nil && t.attempt == c.Attempt && t.state == wire.TaskExited {
+				if t.why == wire.WhyDone && !w.done[job][i] && !w.over[job] {
+					w.fatal("forgot a result that is not durable: %s", c.Task)
+				}
+				delete(k.tasks, c.Task)
+			}
+		}
+	}
+}
+
+func (w *world) checkLimits() {
+	use := map[string]int64{}
+	for _, k := range w.workers {
+		if k.gone {
+			continue
+		}
+		for id, t := range k.tasks {
+			if t.state != wire.TaskExited {
+				job, _, _ := wire.ParseTaskID(id)
+				s := w.specs[job]
+				use[s.Team] += FromAmounts(s.CPUs, 0, 0).CPU
+			}
+		}
+	}
+	for team, u := range use {
+		if u > w.limit {
+			w.fatal("quota: %s uses %d of %d", team, u, w.limit)
+		}
+	}
+}
+
+func (w *world) report(k *fakeWorker) *wire.Report {
+	k.seq++
+	r := &wire.Report{Machine: k.name, Addr: "127.0.0.1:1", Zone: k.zone, Session: k.session, Seq: k.seq, Token: k.token}
+	ids := make([]string, 0, len(k.tasks))
+	for id := range k.tasks {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		t := k.tasks[id]
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: id, Attempt: t.attempt, State: t.state, Why: t.why})
+	}
+	return r
+}
+
+func (w *world) direct(h heldDirect) {
+	k := h.worker
+	if k.gone {
+		return
+	}
+	w.expire(k)
+	ok := h.msg.Token >= k.token && h.msg.Session == k.session
+	if ok {
+		k.token = h.msg.Token
+		w.exec(k, h.msg.Commands)
+	}
+	rep := w.report(k)
+	if h.ledger != w.lg || h.m == nil {
+		return
+	}
+	res := Rejected
+	if ok {
+		res = Executed
+	}
+	w.lg.DirectEnded(h.m, h.starts, res)
+	if w.lg.Machines[k.name] == h.m {
+		w.lg.Report(h.m, rep, w.now)
+	}
+}
+
+// exchange plays one report and its answer; fate 0 loses the report, 1 the
+// answer.
+func (w *world) exchange(k *fakeWorker, fate int) {
+	if k.gone || k.hung {
+		return
+	}
+	w.expire(k)
+	rep := w.report(k)
+	m := w.machine(k)
+	if fate == 0 || m == nil {
+		return
+	}
+	w.lg.HeardBy(m, w.now)
+	if res := w.lg.Report(m, rep, w.now); res == Deposed {
+		w.fatal("deposed by %d under %d", rep.Token, w.token)
+	}
+	w.makeDurable()
+	cmds := w.lg.Orders(m, w.now)
+	if fate == 1 {
+		return
+	}
+	k.token = w.token
+	k.leaseFrom = w.now
+	w.exec(k, cmds)
+}
+
+func (w *world) takeOver() {
+	w.token += 1 + w.rng.Uint64N(4)
+	w.lg = New(Config{
+		Token: w.token, Lease: testLease, MayFence: 10 * clock.Second,
+		Teams: map[string]Team{"a": {CPUMax: w.limit}, "b": {CPUMax: w.limit}},
+	})
+	for _, k := range w.workers {
+		if !k.gone {
+			w.lg.AddMachine(k.name, "t", k.zone, false, Resources{4000, 0, 1 << 40}, w.now).Recorded = true
+		}
+	}
+	ids := make([]string, 0, len(w.specs))
+	for id := range w.specs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		j := w.lg.AddJob(w.specs[id], 0, w.now, w.marked[id], func(i int) bool { return w.done[id][i] })
+		if w.over[id] {
+			w.lg.Withdraw(j, w.now)
+		}
+	}
+	w.lg.Settle()
+}
+
+func (w *world) machine(k *fakeWorker) *Machine { return w.lg.Machines[k.name] }
+
+// makeDurable is what the owner does with completions.
+func (w *world) makeDurable() {
+	if w.rng.IntN(3) > 0 {
+		return
+	}
+	for _, id := range w.ids {
+		j := w.lg.Jobs[id]
+		if j == nil {
+			continue
+		}
+		todo := j.NotDurable()
+		for _, i := range todo {
+			w.done[id][i] = true
+		}
+		w.lg.MadeDurable(j, todo)
+	}
+	w.lg.Ended, w.lg.Begun = nil, nil
+}
+
+func TestHistories(t *testing.T) {
+	total := 0
+	for seed := uint64(1); seed <= 1500; seed++ {
+		w := &world{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: clock.Second, specs: map[string]*wire.Job{}, marked: map[string]bool{},
+			done: map[string]map[int]bool{}, over: map[string]bool{}, limit: 5000}
+		for i := 0; i < 3; i++ {
+			w.newWorker()
+		}
+		for i := 0; i < 4; i++ {
+			w.newJob()
+		}
+		w.takeOver()
+		job := func() string { return w.ids[len(w.ids)-1-w.rng.IntN(4)] }
+		worker := func() *fakeWorker { return w.workers[len(w.workers)-1-w.rng.IntN(3)] }
+		exchange := func() { w.exchange(worker(), w.rng.IntN(6)) }
+		place := func() {
+			j := w.lg.Jobs[job()]
+			m := w.machine(worker())
+			if j == nil || m == nil {
+				return
+			}
+			w.marked[j.Spec.ID] = true
+			j.Marked = true
+			for i := range j.Tasks {
+				_ = w.lg.Place(j, i, m, w.lg.Attempt(), w.now) // refusals are the point
+			}
+		}
+		actions := map[string]func(){
+			"report":  exchange,
+			"report2": exchange,
+			"report3": exchange,
+			"place":   place,
+			"place2":  place,
+			"stop": func() {
+				if j := w.lg.Jobs[job()]; j != nil {
+					if p := j.Tasks[w.rng.IntN(len(j.Tasks))].Place; p != nil {
+						w.lg.Stop(p, 0)
+					}
+				}
+			},
+			"direct": func() {
+				k := worker()
+				m := w.machine(k)
+				if m == nil {
+					return
+				}
+				msg, starts := w.lg.Direct(m, w.now)
+				if msg == nil {
+					return
+				}
+				h := heldDirect{k, msg, w.lg, m, starts}
+				switch w.rng.IntN(4) {
+				case 0: // never leaves
+					w.lg.DirectEnded(m, starts, NotSent)
+				case 1: // held back, given up, perhaps delivered later
+					w.lg.DirectEnded(m, starts, Lost)
+					h.m = nil
+					w.held = append(w.held, h)
+				default:
+					w.direct(h)
+				}
+				w.makeDurable()
+			},
+			"late": func() {
+				if len(w.held) == 0 {
+					return
+				}
+				i := w.rng.IntN(len(w.held))
+				h := w.held[i]
+				w.held = slices.Delete(w.held, i, i+1)
+				w.direct(h)
+			},
+			"finish": func() {
+				k := worker()
+				ids := make([]string, 0, len(k.tasks))
+				for id := range k.tasks {
+					ids = append(ids, id)
+				}
+				slices.Sort(ids)
+				for _, id := range ids {
+					jid, _, _ := wire.ParseTaskID(id)
+					if t := k.tasks[id]; t.state == wire.TaskRunning && w.specs[jid].Kind == wire.KindArray {
+						t.state, t.why = wire.TaskExited, wire.WhyDone
+						return
+					}
+				}
+			},
+			"time": func() {
+				w.now += clock.Micros(1+w.rng.IntN(2000)) * clock.Millisecond
+				if w.rng.IntN(25) == 0 {
+					w.now += 35 * clock.Second
+				}
+				for _, k := range w.workers {
+					w.expire(k)
+					if m := w.machine(k); m != nil {
+						w.lg.Expire(m, w.now)
+					}
+				}
+				w.makeDurable()
+			},
+			"hang": func() {
+				k := worker()
+				k.hung = !k.hung && w.rng.IntN(8) == 0
+			},
+			"delete": func() {
+				if w.rng.IntN(20) > 0 {
+					return
+				}
+				k := worker()
+				if m := w.machine(k); m != nil {
+					k.gone = true
+					w.lg.MachineGone(m, w.now)
+					n := w.newWorker()
+					w.lg.AddMachine(n.name, "t", n.zone, false, Resources{4000, 0, 1 << 40}, w.now).Recorded = true
+				}
+			},
+			"takeOver": func() {
+				if w.rng.IntN(12) == 0 {
+					w.takeOver()
+				}
+			},
+			"withdraw": func() {
+				id := job()
+				j := w.lg.Jobs[id]
+				if !j.Complete() && w.rng.IntN(20) > 0 {
+					return
+				}
+				w.over[id] = true
+				w.lg.Withdraw(j, w.now)
+				w.lg.AddJob(w.newJob(), 0, w.now, false, nil)
+			},
+		}
+		names := make([]string, 0, len(actions))
+		for n := range actions {
+			names = append(names, n)
+		}
+		slices.Sort(names)
+		for step := 0; step < 300; step++ {
+			actions[names[w.rng.IntN(len(names))]]()
+			for _, m := range w.lg.Machines {
+				var sum Resources
+				m.Places(func(p *Placement) { sum = sum.Add(p.Job.Need) })
+				if sum != m.Used() {
+					w.fatal("books of %s: %v, placements %v", m.Name, m.Used(), sum)
+				}
+			}
+		}
+		total += w.starts
+	}
+	t.Logf("%d starts", total)
+	if total == 0 {
+		t.Fatal("no history started a task")
+	}
+}
+
+func reportOf(m *Machine, session, seq, token uint64, tasks ...wire.TaskReport) *wire.Report {
+	return &wire.Report{Machine: m.Name, Addr: "127.0.0.1:1", Zone: m.Zone, Session: session, Seq: seq, Token: token, Tasks: tasks}
+}
+
+func small(t *testing.T, kind string, tasks int) (*Ledger, *Job, *Machine) {
+	t.Helper()
+	l := New(Config{Token: 7, Lease: testLease, MayFence: 20 * clock.Second})
+	l.Settle()
+	m := l.AddMachine("i-1", "t", "x", false, Resources{8000, 0, 8000}, 1)
+	m.Recorded = true
+	j := l.AddJob(&wire.Job{ID: "req-000001", Kind: kind, Priority: wire.PriorityNormal, Tasks: tasks, CPUs: 1, Team: "a"}, 0, 1, true, nil)
+	if l.Report(m, reportOf(m, 1, 1, 7), 1) != Taken {
+		t.Fatal("first report not taken")
+	}
+	return l, j, m
+}
+
+// A start that was sent directly and not answered may arrive after the worker
+// was told to forget the attempt: it would run again.
+func TestNoForgettingWhileAStartMayArrive(t *testing.T) {
+	l, j, m := small(t, wire.KindArray, 1)
+	if err := l.Place(j, 0, m, l.Attempt(), 2); err != nil {
+		t.Fatal(err)
+	}
+	msg, starts := l.Direct(m, 2)
+	if msg == nil || len(starts) != 1 {
+		t.Fatal("no direct start")
+	}
+	l.DirectEnded(m, starts, Lost)
+	attempt := msg.Commands[0].Attempt
+	l.Report(m, reportOf(m, 1, 2, 7, wire.TaskReport{Task: "req-000001/0", Attempt: attempt, State: wire.TaskExited, Why: wire.WhyError}), 3)
+	for _, c := range l.Orders(m, 3) {
+		if c.Op == wire.OpForget {
+			t.Fatal("told to forget an attempt whose start may still arrive")
+		}
+	}
+	// A new session refuses commands of the old one.
+	l.Report(m, reportOf(m, 2, 3, 7, wire.TaskReport{Task: "req-000001/0", Attempt: attempt, State: wire.TaskExited, Why: wire.WhyError}), 4)
+	if c := l.Orders(m, 4); len(c) != 1 || c[0].Op != wire.OpForget {
+		t.Fatalf("not forgotten in the new session: %v", c)
+	}
+}
+
+// A withdrawn job's start that may still arrive is met by a start and a stop
+// in one message, so that the late one finds its attempt listed as exited.
+func TestFenceOfAWithdrawnStart(t *testing.T) {
+	l, j, m := small(t, wire.KindArray, 1)
+	if err := l.Place(j, 0, m, l.Attempt(), 2); err != nil {
+		t.Fatal(err)
+	}
+	_, starts := l.Direct(m, 2)
+	l.DirectEnded(m, starts, Lost)
+	l.Withdraw(j, 3)
+	l.Report(m, reportOf(m, 1, 2, 7), 4)
+	c := l.Orders(m, 4)
+	if len(c) != 2 || c[0].Op != wire.OpStart || c[1].Op != wire.OpStop {
+		t.Fatalf("not fenced: %v", c)
+	}
+	if l.Gone(j) {
+		t.Fatal("a task that may start is counted as gone")
+	}
+	if c = l.Orders(m, 4+30*clock.Second); len(c) != 0 {
+		t.Fatalf("fenced too long after the withdrawal: %v", c)
+	}
+	if !l.Tainted(m, 4+30*clock.Second) {
+		t.Fatal("the machine has to go")
+	}
+}
+
+// A report of a session that was given up for over may come out of the network
+// late; it must not bring its tasks back.
+func TestReportOfAnExpiredSession(t *testing.T) {
+	l, j, m := small(t, wire.KindArray, 1)
+	if err := l.Place(j, 0, m, l.Attempt(), 2); err != nil {
+		t.Fatal(err)
+	}
+	l.Orders(m, 2)
+	if !l.Expire(m, l.LeaseEnd(m)) || j.Active() != 0 {
+		t.Fatal("not expired")
+	}
+	late := reportOf(m, 1, 9, 7, wire.TaskReport{Task: "req-000001/0", Attempt: 1, State: wire.TaskRunning})
+	if l.Report(m, late, l.LeaseEnd(m)) != Stale {
+		t.Fatal("a report of the expired session was taken")
+	}
+}
+
+// One lost task ends a gang's attempt, and the next attempt waits until every
+// task of the old one is over.
+func TestGangRestartsWhole(t *testing.T) {
+	l, j, m := small(t, wire.KindGang, 2)
+	a := l.Attempt()
+	for i := range j.Tasks {
+		if err := l.Place(j, i, m, a, 2); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.Orders(m, 2)
+	run := func(i int, state, why string) wire.TaskReport {
+		return wire.TaskReport{Task: wire.TaskID("req-000001", i), Attempt: a, State: state, Why: why}
+	}
+	l.Report(m, reportOf(m, 1, 2, 7, run(0, wire.TaskRunning, ""), run(1, wire.TaskRunning, "")), 3)
+	l.Report(m, reportOf(m, 1, 3, 7, run(0, wire.TaskExited, wire.WhyError), run(1, wire.TaskRunning, "")), 4)
+	if err := l.Place(j, 0, m, l.Attempt(), 5); err == nil {
+		t.Fatal("a new attempt beside the old one")
+	}
+	stops := 0
+	for _, c := range l.Orders(m, 5) {
+		if c.Op == wire.OpStop {
+			stops++
+		}
+	}
+	if stops != 1 {
+		t.Fatalf("%d stops for the rest of the gang", stops)
+	}
+	l.Report(m, reportOf(m, 1, 4, 7, run(1, wire.TaskExited, wire.WhyPeers)), 6)
+	if j.Attempt != 0 || j.Broken {
+		t.Fatal("the old attempt is not over")
+	}
+	l.Report(m, reportOf(m, 1, 5, 7), 7)
+	b := l.Attempt()
+	for i := range j.Tasks {
+		if err := l.Place(j, i, m, b, 8); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
