--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"firwood.dev/firwood/internal/seed"
+)
+
+func TestMain(m *testing.M) { seed.Main(m) }
+
+func beats() *rapid.Generator[Beat] {
+	return rapid.Custom(func(t *rapid.T) Beat {
+		b := Beat{
+			Member: rapid.StringMatching(`[a-z]{1,9}`).Draw(t, "member"), Served: rapid.Bool().Draw(t, "served"),
+			Leader: rapid.StringMatching(`[a-z]{0,9}`).Draw(t, "leader"), Token: rapid.Uint64().Draw(t, "token"),
+			Workers: rapid.Uint32().Draw(t, "workers"), Leaving: rapid.Bool().Draw(t, "leaving"),
+		}
+		for i := rapid.IntRange(0, 5).Draw(t, "counts"); i > 0; i-- {
+			b.Counts = append(b.Counts, Count{Job: rapid.String().Draw(t, "job"), Done: rapid.Uint32().Draw(t, "done"), Running: rapid.Uint32().Draw(t, "running")})
+		}
+		return b
+	})
+}
+
+// Beats come out as they went in, however the stream is cut.
+func TestStream(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := rapid.SliceOfN(beats(), 1, 4).Draw(t, "beats")
+		var stream []byte
+		for i := range in {
+			stream = append(stream, Encode(&in[i])...)
+		}
+		var f Frames
+		var out []Beat
+		for len(stream) > 0 {
+			n := rapid.IntRange(1, len(stream)).Draw(t, "piece")
+			if err := f.Feed(stream[:n], func(b *Beat) { out = append(out, *b) }); err != nil {
+				t.Fatal(err)
+			}
+			stream = stream[n:]
+		}
+		if !reflect.DeepEqual(in, out) {
+			t.Fatalf("got %+v, want %+v", out, in)
+		}
+	})
+}
+
+// Garbage on the peers' port is refused; it neither panics nor piles up.
+func TestGarbage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := beats().Draw(t, "beat")
+		frame := append([]byte(nil), Encode(&b)...)
+		for i := rapid.IntRange(1, 6).Draw(t, "changes"); i > 0; i-- {
+			frame[rapid.IntRange(0, len(frame)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		}
+		var f Frames
+		if err := f.Feed(frame, func(*Beat) {}); err == nil && len(f.buf) > MaxFrame+4 {
+			t.Fatalf("%d bytes are kept", len(f.buf))
+		}
+		if b, err := Decode(rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "bytes")); err == nil && b.Member == "" {
+			t.Fatal("a beat of nobody")
+		}
+	})
+}
--- a/internal/planner/model.go
+++ b/internal/planner/model.go
@@ -4,7 +4,9 @@
 package planner
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 
 	"gonum.org/v1/gonum/stat"
@@ -287,7 +289,10 @@
 	}
 	if rate > 0 && in.Lambda > 0 {
 		var sum, weight float64
-		for r, w := range in.Needs {
+		// In order of r: the sums, and with them the choice, must not depend on
+		// the order of a map.
+		for _, r := range slices.Sorted(maps.Keys(in.Needs)) {
+			w := in.Needs[r]
 			d := in.BootS // not prepared: rented on arrival
 			if r <= len(delays) {
 				d = delays[r-1]
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,340 @@
+package planner
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/ledger"
+	"firwood.dev/firwood/wire"
+)
+
+func params() Params {
+	return Params{
+		Alpha: 50, Beta: 1, IdleWait: 60 * clock.Second, Window: 120 * clock.Second, Recency: 60 * clock.Second,
+		SpareMin: 1, SpareMax: 4, MinSamples: 3, MaxCount: 1000, CV: 0.45, Lag: 0.65, KS: 3.75,
+		SmoothArrival: 0.2, SmoothService: 0.1, SmoothNeed: 0.1, Horizon: 600 * clock.Second,
+	}
+}
+
+func near(a, b float64) bool { return math.Abs(a-b) < 1e-9*max(1, math.Abs(b)) }
+
+// W and E worked by hand from (23), (25), (34), (35) and (59): arrivals 0.1 a
+// second, nearest finish in 10 s, so each is next with chance one half and the
+// next event comes after 5 s; one machine is ready, one boots for 6 s more, a
+// new one takes 20 s; the next job asks for 1, 2 or 3 machines with weights
+// 0.5, 0.3 and 0.2.
+func TestCostByHand(t *testing.T) {
+	in := SpareInput{Lambda: 0.1, LambdaC: 0.1, Needs: map[int]float64{1: 0.5, 2: 0.3, 3: 0.2}, Ready: 1, Booting: []float64{6}, BootS: 20}
+	left6 := 6 - (1-math.Exp(-1.2))/0.2
+	left20 := 20 - (1-math.Exp(-4))/0.2
+	for _, c := range []struct {
+		x    int
+		w, e float64
+	}{
+		{0, 0.5 * 20, 0},
+		{1, 0.5 * (0.5*0 + 0.5*20), 5},
+		{2, 0.5 * (0.3*left6 + 0.2*20), 10},
+		{3, 0.5 * (0.3*left6 + 0.2*left20), 15},
+	} {
+		got := in.Cost(c.x, 50, 1)
+		if !near(got.W, c.w) || !near(got.E, c.e) || !near(got.J, 50*c.w+c.e) {
+			t.Errorf("x=%d: W=%v E=%v J=%v, want W=%v E=%v", c.x, got.W, got.E, got.J, c.w, c.e)
+		}
+	}
+	in.Horizon = 4
+	if got, want := in.Cost(1, 50, 1).E, (1-math.Exp(-0.8))/0.2; !near(got, want) {
+		t.Errorf("capped horizon: %v, want %v", got, want)
+	}
+}
+
+func TestChoiceAgainstBruteForce(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 3))
+	for n := 0; n < 2000; n++ {
+		in := SpareInput{Lambda: rng.Float64(), LambdaC: rng.Float64(), Ready: rng.IntN(4), BootS: 30 * rng.Float64(), Needs: map[int]float64{}}
+		for i := rng.IntN(4); i > 0; i-- {
+			in.Booting = append(in.Booting, 20*rng.Float64())
+		}
+		for r := 1; r <= 5; r++ {
+			in.Needs[r] = rng.Float64()
+		}
+		alpha := 100 * rng.Float64()
+		got := in.Choose(1, 6, alpha, 1)
+		for x := 1; x <= 6; x++ {
+			if c := in.Cost(x, alpha, 1); c.J < got.J {
+				t.Fatalf("x=%d has J=%v, the choice %d has %v", x, c.J, got.X, got.J)
+			}
+		}
+	}
+}
+
+func TestScreen(t *testing.T) {
+	p := params()
+	rng := rand.New(rand.NewPCG(4, 4))
+	accepted := 0
+	for n := 0; n < 200; n++ {
+		x := make([]float64, 40)
+		for i := range x {
+			x[i] = rng.ExpFloat64() * 7
+		}
+		if screen(x, &p).OK {
+			accepted++
+		}
+	}
+	if accepted < 180 {
+		t.Errorf("only %d of 200 exponential windows pass", accepted)
+	}
+	same := make([]float64, 40)
+	for i := range same {
+		same[i] = 7
+	}
+	if v := screen(same, &p); v.OK || v.Reason != "variation" {
+		t.Errorf("equal gaps: %+v", v)
+	}
+	rising := make([]float64, 40)
+	for i := range rising {
+		rising[i] = math.Exp(float64(i) / 10)
+	}
+	if v := screen(rising, &p); v.OK {
+		t.Errorf("a trend passes: %+v", v)
+	}
+	if v := screen(same[:2], &p); v.OK || v.Reason != "too few samples" {
+		t.Errorf("two samples: %+v", v)
+	}
+	var s Series
+	for i := 0; i < 10; i++ {
+		s.Add(clock.Micros(i)*clock.Second, 1)
+	}
+	if v := s.Screen(&p, 125*clock.Second); v.N != 5 {
+		t.Errorf("%d samples in the window, want 5", v.N)
+	}
+}
+
+// The conditional mean (50) against numbers drawn from the distribution.
+func TestRemainingAgainstSampling(t *testing.T) {
+	r := RunTimes{}
+	rng := rand.New(rand.NewPCG(5, 5))
+	for i := 0; i < 4000; i++ {
+		r.Observe(40, 40*math.Exp(0.2+0.4*rng.NormFloat64()), 0.01)
+	}
+	for _, age := range []float64{0, 20, 60} {
+		sum, n := 0.0, 0
+		for i := 0; i < 200000; i++ {
+			d := 40 * math.Exp(r.m+r.sigma()*rng.NormFloat64())
+			if d > age {
+				sum += d - age
+				n++
+			}
+		}
+		if got, want := r.Remaining(40, age), sum/float64(n); math.Abs(got-want) > 0.03*want {
+			t.Errorf("age %v: %v, sampled %v", age, got, want)
+		}
+	}
+	if v := r.Remaining(40, 1e6); v < 0 || math.IsNaN(v) || math.IsInf(v, 0) {
+		t.Errorf("far tail: %v", v)
+	}
+}
+
+type scene struct {
+	l    *ledger.Ledger
+	pl   *Planner
+	now  clock.Micros
+	seqs map[string]uint64
+}
+
+func newScene(teams map[string]ledger.Team) *scene {
+	types := []wire.MachineType{
+		{Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, Price: 1, SpotPrice: 0.4, BootS: 15, FetchGBPerS: 1, Zones: []string{"x", "y", "z"}},
+		{Name: "small", CPUs: 4, MemoryGB: 16, Price: 0.3, SpotPrice: 0.15, BootS: 15, FetchGBPerS: 1, Zones: []string{"x", "y"}},
+	}
+	s := &scene{l: ledger.New(ledger.Config{Token: 1, Lease: 30 * clock.Second, Teams: teams}), now: clock.Second, seqs: map[string]uint64{}}
+	s.pl = New(params(), types, teams, []string{"x", "y", "z"})
+	s.l.Settle()
+	return s
+}
+
+func (s *scene) machine(name, typ, zone string, spot bool) *ledger.Machine {
+	m := s.l.AddMachine(name, typ, zone, spot, s.pl.Size(typ), s.now)
+	m.Recorded = true
+	s.seqs[name]++
+	s.l.Report(m, &wire.Report{Machine: name, Session: 1, Seq: s.seqs[name], Token: 1, Addr: "127.0.0.1:1"}, s.now)
+	return m
+}
+
+func (s *scene) job(w wire.Job) *ledger.Job {
+	if w.Priority == "" {
+		w.Priority = wire.PriorityNormal
+	}
+	if w.Kind == "" {
+		w.Kind = wire.KindArray
+	}
+	return s.l.AddJob(&w, s.now, s.now, true, nil)
+}
+
+// Over generated scenes no plan breaks a job's wishes, a machine's room or a
+// team's limit, and gangs are placed whole.
+func TestPlansKeepConstraints(t *testing.T) {
+	rng := rand.New(rand.NewPCG(6, 6))
+	placed, gangs := 0, 0
+	for n := 0; n < 400; n++ {
+		s := newScene(map[string]ledger.Team{"a": {CPU: 8000, CPUMax: 40000}, "b": {GPUMax: 3000}})
+		for i := rng.IntN(8); i >= 0; i-- {
+			s.machine(fmt.Sprint("i-", i), []string{"big", "small"}[rng.IntN(2)], []string{"x", "y"}[rng.IntN(2)], rng.IntN(2) == 0)
+		}
+		for i := rng.IntN(10); i >= 0; i-- {
+			w := wire.Job{ID: fmt.Sprintf("req-%06d", i), Team: []string{"a", "b"}[rng.IntN(2)], Tasks: 1 + rng.IntN(9),
+				CPUs: 0.5 + float64(rng.IntN(6)), GPUs: float64(rng.IntN(2)), MemoryGB: float64(1 + rng.IntN(12)), EstimateS: float64(1 + rng.IntN(90)),
+				Kind:     []string{wire.KindArray, wire.KindGang, wire.KindService}[rng.IntN(3)],
+				Priority: []string{wire.PriorityProduction, wire.PriorityHigh, wire.PriorityNormal, wire.PriorityLow}[rng.IntN(4)],
+				Spot:     rng.IntN(2) == 0, OneZone: rng.IntN(4) == 0, Spread: rng.IntN(4) == 0}
+			if w.OneZone {
+				w.Spread = false
+			}
+			if rng.IntN(4) == 0 {
+				w.Zone = "x"
+			}
+			if rng.IntN(4) == 0 {
+				w.Types = []string{"big"}
+			}
+			s.job(w)
+		}
+		for k := 0; k < 3; k++ {
+			d := s.pl.Plan(s.l, s.now, nil)
+			for _, r := range d.Rent {
+				if r.Count < 1 || r.Count > wire.MaxHire {
+					t.Fatalf("scene %d: rents %d", n, r.Count)
+				}
+			}
+			s.now += clock.Second
+		}
+		use := map[string]ledger.Resources{}
+		for _, j := range s.l.Jobs {
+			zones := map[string]int{}
+			for i := range j.Tasks {
+				p := j.Tasks[i].Place
+				if p == nil {
+					continue
+				}
+				placed++
+				zones[p.Machine.Zone]++
+				use[j.Spec.Team] = use[j.Spec.Team].Add(j.Need)
+				if p.Machine.Spot && !j.Spec.Spot || j.Spec.Zone != "" && p.Machine.Zone != j.Spec.Zone || j.Spec.Types != nil && p.Machine.Type != "big" {
+					t.Fatalf("scene %d: %s in a wrong place", n, j.Spec.ID)
+				}
+			}
+			if j.Spec.OneZone && len(zones) > 1 {
+				t.Fatalf("scene %d: %s in several zones", n, j.Spec.ID)
+			}
+			for _, c := range zones {
+				if j.Spec.Spread && c > j.SpreadLimit() {
+					t.Fatalf("scene %d: %s is not spread", n, j.Spec.ID)
+				}
+			}
+			if j.Gang() && j.Active() > 0 {
+				gangs++
+				if j.WaitingCount() > 0 {
+					t.Fatalf("scene %d: gang %s is placed in part", n, j.Spec.ID)
+				}
+			}
+		}
+		for _, m := range s.l.Machines {
+			if !m.Used().Fits(m.Cap) {
+				t.Fatalf("scene %d: %s is over-full", n, m.Name)
+			}
+		}
+		if use["a"].CPU > 40000 || use["b"].GPU > 3000 {
+			t.Fatalf("scene %d: over the limit: %v", n, use)
+		}
+	}
+	if placed < 1000 || gangs < 20 {
+		t.Fatalf("%d tasks and %d gangs were placed", placed, gangs)
+	}
+}
+
+// Smallest need first, inside rank and guarantee.
+func TestOrder(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {CPU: 4000}, "b": {}})
+	s.machine("i-0", "big", "x", false)
+	s.job(wire.Job{ID: "req-000001", Team: "b", Tasks: 1, CPUs: 4, EstimateS: 50})
+	s.job(wire.Job{ID: "req-000002", Team: "b", Tasks: 1, CPUs: 4, EstimateS: 20})
+	s.job(wire.Job{ID: "req-000003", Team: "b", Tasks: 8, CPUs: 4, EstimateS: 1, Kind: wire.KindGang})
+	s.job(wire.Job{ID: "req-000004", Team: "a", Tasks: 1, CPUs: 4, EstimateS: 90})
+	s.job(wire.Job{ID: "req-000005", Team: "b", Tasks: 1, CPUs: 4, EstimateS: 90, Priority: wire.PriorityProduction, Kind: wire.KindService})
+	var got []string
+	for _, e := range s.pl.queue(s.l, s.pl.owed(s.l), s.now) {
+		got = append(got, e.job.Spec.ID)
+	}
+	want := []string{"req-000005", "req-000004", "req-000002", "req-000001", "req-000003"}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Fatalf("%v, want %v", got, want)
+	}
+}
+
+// A replica that finds no room takes that of batch work, of what started last.
+func TestPreemption(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	m := s.machine("i-0", "small", "x", false)
+	old := s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 2, CPUs: 2, EstimateS: 50})
+	s.pl.Plan(s.l, s.now, nil)
+	s.l.Orders(m, s.now) // sent: from here on only a stop ends them
+	s.now += 10 * clock.Second
+	serve := s.job(wire.Job{ID: "req-000002", Team: "a", Tasks: 1, CPUs: 2, Priority: wire.PriorityProduction, Kind: wire.KindService})
+	s.pl.Plan(s.l, s.now, nil)
+	stopping := 0
+	for i := range old.Tasks {
+		if p := old.Tasks[i].Place; p != nil && p.Stopping() {
+			stopping++
+		}
+	}
+	if stopping != 1 || serve.Active() != 0 {
+		t.Fatalf("%d stopped, %d replicas placed", stopping, serve.Active())
+	}
+	s.pl.Plan(s.l, s.now, nil)
+	for i := range old.Tasks {
+		if p := old.Tasks[i].Place; p != nil && p.Stopping() {
+			stopping--
+		}
+	}
+	if stopping != 0 {
+		t.Fatal("the same replica stopped a second task")
+	}
+}
+
+// An empty pool is left alone for a while, and the next zone is asked.
+func TestRefusedPoolIsLeftAlone(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 3, CPUs: 16, EstimateS: 50, Types: []string{"big"}})
+	first := s.pl.Plan(s.l, s.now, nil).Rent
+	if len(first) == 0 {
+		t.Fatal("nothing is rented")
+	}
+	for _, r := range first {
+		s.pl.Refused(r.Pool, s.now)
+	}
+	for _, r := range s.pl.Plan(s.l, s.now, nil).Rent {
+		for _, f := range first {
+			if f.Pool == r.Pool {
+				t.Fatalf("%v is asked again at once", r.Pool)
+			}
+		}
+	}
+	if len(s.pl.Plan(s.l, s.now+60*clock.Second, nil).Rent) == 0 {
+		t.Fatal("never asked again")
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	for i := 0; i < 40; i++ {
+		s.machine(fmt.Sprint("i-", i), "big", []string{"x", "y"}[i%2], i%3 > 0)
+	}
+	for i := 0; i < 100; i++ {
+		s.job(wire.Job{ID: fmt.Sprintf("req-%06d", i), Team: "a", Tasks: 20, CPUs: 2, EstimateS: 40, Spot: true})
+	}
+	b.ReportAllocs()
+	for i := 0; i < b.N; i++ {
+		s.pl.Plan(s.l, s.now, nil)
+	}
+}
