--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -44,6 +44,7 @@
 	planAt     clock.Micros
 	slowAt     clock.Micros
 	listAt     clock.Micros
+	fleetAt    clock.Micros
 	listBusy   bool
 	deletes    []string
 	deleteBusy bool
@@ -284,6 +285,7 @@
 		l.watchMachines(now)
 		l.watchJobs(now)
 		l.list(now)
+		l.logFleet(now)
 		l.dirty = true
 	}
 	if l.dirty && now >= l.planAt {
@@ -808,6 +810,46 @@
 	})
 }
 
+// logFleet sums up, at debug level, what is rented and what it does.
+func (l *lead) logFleet(now clock.Micros) {
+	if now < l.fleetAt {
+		return
+	}
+	l.fleetAt = now + 5*clock.Second
+	var n, booting, idle [2]int
+	var room, replicas, tasks [2]int64
+	for _, m := range l.lg.Machines {
+		k := 0
+		if m.Spot {
+			k = 1
+		}
+		n[k]++
+		if m.UpAt == 0 {
+			booting[k]++
+			continue
+		}
+		if m.Idle() {
+			idle[k]++
+		}
+		room[k] += m.Cap.CPU / 1000
+		m.Places(func(p *ledger.Placement) {
+			if p.Job.Service() {
+				replicas[k] += p.Job.Need.CPU / 1000
+			} else {
+				tasks[k] += p.Job.Need.CPU / 1000
+			}
+		})
+	}
+	waiting := 0
+	for _, j := range l.lg.Jobs {
+		if !j.Withdrawn {
+			waiting += j.WaitingCount()
+		}
+	}
+	l.c.log.Debug("fleet", "ordinary", n[0], "booting", booting[0], "idle", idle[0], "cpus", room[0], "replicas", replicas[0], "tasks", tasks[0],
+		"spot", n[1], "spot_booting", booting[1], "spot_idle", idle[1], "spot_cpus", room[1], "spot_tasks", tasks[1], "waiting", waiting)
+}
+
 // list reads the cloud's list now and then: for machines that failed, and for
 // machines that nobody knows.
 func (l *lead) list(now clock.Micros) {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -315,13 +315,15 @@
 	machines []*ledger.Machine
 	held     map[*ledger.Machine]ledger.Resources // promised to jobs not yet marked
 	fetching map[*ledger.Machine]map[string]bool
+	services map[*ledger.Machine]int // replicas on it
 }
 
 func (r *round) free(m *ledger.Machine) ledger.Resources { return m.Free().Sub(r.held[m]) }
 
 // Plan places what fits, and works out what to rent and to give back.
 func (pl *Planner) Plan(l *ledger.Ledger, now clock.Micros, hires []Hire) Decision {
-	r := &round{pl: pl, l: l, now: now, held: map[*ledger.Machine]ledger.Resources{}, fetching: map[*ledger.Machine]map[string]bool{}}
+	r := &round{pl: pl, l: l, now: now, held: map[*ledger.Machine]ledger.Resources{}, fetching: map[*ledger.Machine]map[string]bool{},
+		services: map[*ledger.Machine]int{}}
 	for _, m := range l.Machines {
 		r.machines = append(r.machines, m)
 	}
@@ -329,6 +331,9 @@
 	for _, m := range r.machines {
 		f := map[string]bool{}
 		m.Places(func(p *ledger.Placement) {
+			if p.Job.Service() {
+				r.services[m]++
+			}
 			if p.Started == 0 && !p.Stopping() {
 				f[p.Job.Spec.Image] = true
 			}
@@ -383,6 +388,11 @@
 	if j.Spec.Spot == m.Spot {
 		s += 100
 	}
+	if j.Service() && r.services[m] > 0 {
+		// Replicas stay for long, and a machine that has one cannot be given
+		// back: they go together.
+		s += 50
+	}
 	if _, ok := m.Images[j.Spec.Image]; ok {
 		s += 20
 	} else if r.fetching[m][j.Spec.Image] {
