Arrays wait for spot machines before they rent ordinary ones

Cause: spot pools rest after a refusal, and meanwhile arrays rented ordinary machines at 2.5 times the price, which replicas then kept from being given back. Now an ordinary machine is rented for a job that may use spot ones only after 40 s (spot_patience_s) in which nothing of it runs.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -129,6 +129,9 @@
 	SmoothNeed    float64 `yaml:"smooth_need"`
 	// Bound of the planning horizon, in seconds.
 	HorizonS float64 `yaml:"horizon_s"`
+	// How long a job that may use spot machines waits for one before an
+	// ordinary machine is rented for it, in seconds.
+	SpotPatienceS float64 `yaml:"spot_patience_s"`
 }
 
 // DefaultTuning holds the named defaults.
@@ -139,6 +142,7 @@
 		ScreenMinSamples: 3, ScreenMaxSamples: 1000,
 		ScreenCV: 0.45, ScreenLag: 0.65, ScreenKS: 3.75,
 		SmoothArrival: 0.2, SmoothService: 0.1, SmoothNeed: 0.1, HorizonS: 600,
+		SpotPatienceS: 40,
 	}
 }
 
@@ -271,6 +275,7 @@
 		{t.SmoothService > 0 && t.SmoothService <= 1, "smooth_service", "is not within (0, 1]"},
 		{t.SmoothNeed > 0 && t.SmoothNeed <= 1, "smooth_need", "is not within (0, 1]"},
 		{positive(t.HorizonS), "horizon_s", "is not above 0"},
+		{notNegative(t.SpotPatienceS), "spot_patience_s", "is below 0"},
 	} {
 		if !c.ok {
 			return t, fmt.Errorf("%s: %s", c.field, c.want)
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -99,7 +99,7 @@
 		SpareMin: t.SpareMin, SpareMax: t.SpareMax,
 		MinSamples: t.ScreenMinSamples, MaxCount: t.ScreenMaxSamples, CV: t.ScreenCV, Lag: t.ScreenLag, KS: t.ScreenKS,
 		SmoothArrival: t.SmoothArrival, SmoothService: t.SmoothService, SmoothNeed: t.SmoothNeed,
-		Horizon: clock.FromSeconds(t.HorizonS),
+		Horizon: clock.FromSeconds(t.HorizonS), SpotPatience: clock.FromSeconds(t.SpotPatienceS),
 	}, c.types, c.teams, d.Zones)
 	l.listAt = now + 2*clock.Second
 	l.renew()
--- a/internal/planner/model.go
+++ b/internal/planner/model.go
@@ -27,6 +27,9 @@
 	SmoothService        float64
 	SmoothNeed           float64
 	Horizon              clock.Micros
+	// SpotPatience is how long a job that may use spot machines waits for one
+	// before an ordinary machine is rented for it.
+	SpotPatience clock.Micros
 }
 
 // sample is an observation with its time.
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -731,6 +731,9 @@
 				if !poolAllowed(j, p) || r.now < r.pl.pool(p).blockedUntil {
 					continue
 				}
+				if j.Spec.Spot && !spot && t.SpotPrice > 0 && (j.Active() > 0 || r.now-j.Seen < r.pl.P.SpotPatience) {
+					continue // worth the wait for a spot machine
+				}
 				if j.Spec.Spread && j.InZone(z)+zones[z] >= j.SpreadLimit() {
 					continue
 				}
