A leader cut off from the workers hands over, and deletes nothing meanwhile

It went on renewing its lock while their leases ran out, and took the machines that fell silent first for dead: it deleted 9, another 16 were lost. Ruled out: spot waves (machines were of both kinds), the cloud. Now silent machines are deleted only while a third of their zone is heard, and a leader that hears under a quarter of its machines, while another controller is asked by a third, hands over.

--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -283,6 +283,9 @@
 	if now >= l.slowAt {
 		l.slowAt = now + 500*clock.Millisecond
 		l.watchMachines(now)
+		if l.closed {
+			return
+		}
 		l.watchJobs(now)
 		l.list(now)
 		l.logFleet(now)
@@ -724,14 +727,72 @@
 	return clock.FromSeconds(1.25*l.c.cfg.Deployment.Workers.ReportS) + 6500*clock.Millisecond
 }
 
+// freshFor is how long ago a machine that can be heard may have reported last:
+// its longest interval and one slow message.
+func (l *lead) freshFor() clock.Micros {
+	return clock.FromSeconds(1.25*l.c.cfg.Deployment.Workers.ReportS) + 1500*clock.Millisecond
+}
+
+// hearing counts machines that are up, and those of them heard just now.
+type hearing struct{ up, fresh int }
+
+func (h *hearing) add(fresh bool) {
+	h.up++
+	if fresh {
+		h.fresh++
+	}
+}
+
+// mostly tells that the way to these machines is open: enough of them are
+// heard, even while a wave takes many of the others.
+func (h *hearing) mostly() bool { return h.fresh > 0 && 3*h.fresh >= h.up }
+
+// lost tells that the leader hears next to none of its machines while another
+// controller is asked by many: the fault is on the leader's side.
+func (h *hearing) lost(peers uint32) bool {
+	return h.up >= 3 && 4*h.fresh < h.up && 3*int(peers) >= h.up
+}
+
+// standOff is how long a leader that was cut off leaves the lead to others.
+const standOff = 30 * clock.Second
+
+// handOver gives the lead to a controller that the workers do reach: their
+// leases would run out while this one renews its lock.
+func (l *lead) handOver(h hearing, now clock.Micros) bool {
+	if now-l.since < l.silentAfter() {
+		return false
+	}
+	for _, b := range l.c.beats {
+		if now-b.at < 2*clock.Second && b.beat.Served && h.lost(b.beat.Workers) {
+			l.c.log.Info("few workers are heard, others hear them", "heard", h.fresh, "of", h.up, "others", b.beat.Workers)
+			l.c.act(l.c.el.Resign(now, standOff))
+			l.c.stepDown("handed over")
+			return true
+		}
+	}
+	return false
+}
+
 // watchMachines gives up machines that are stuck, silent, taken or over.
 func (l *lead) watchMachines(now clock.Micros) {
 	silent := l.silentAfter()
-	heard := map[string]int{}
+	zones := map[string]*hearing{}
+	var all hearing
 	for _, m := range l.lg.Machines {
-		if m.Heard != 0 && now-m.Heard < silent {
-			heard[m.Zone]++
+		if m.UpAt == 0 {
+			continue
+		}
+		z := zones[m.Zone]
+		if z == nil {
+			z = &hearing{}
+			zones[m.Zone] = z
 		}
+		fresh := now-max(m.Heard, l.since) < l.freshFor()
+		z.add(fresh)
+		all.add(fresh)
+	}
+	if l.handOver(all, now) {
+		return
 	}
 	for name, m := range l.lg.Machines {
 		a := l.machines[name]
@@ -750,10 +811,11 @@
 		case m.UpAt == 0 && now-m.Since > l.pl.StuckAfter(m.Type) && quiet > silent:
 			l.c.log.Info("machine does not come up", "machine", name)
 			l.delete(m)
-		case m.UpAt != 0 && quiet > silent && heard[m.Zone] > 0:
-			// It alone is silent. Deleting it proves its tasks over, sooner
-			// than its lease would. When a whole zone is silent a cut is more
-			// likely, and its machines come back.
+		case m.UpAt != 0 && quiet > silent && zones[m.Zone].mostly():
+			// It is silent while others of its zone are heard. Deleting it
+			// proves its tasks over, sooner than its lease would. When a whole
+			// zone falls silent a cut is more likely, and it comes back: once
+			// a leader that was cut off deleted half its fleet.
 			l.c.log.Info("machine silent", "machine", name, "for_s", quiet.Seconds())
 			l.delete(m)
 		case m.Draining && m.Idle() || l.lg.Tainted(m, now):
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -488,7 +488,7 @@
 		t.Why = "tasks failed with an error and were started again"
 	case t.Restarts > 0:
 		t.Why = "tasks were lost with their machines and were started again"
-	case first == 0 && !rec.over():
+	case first == 0 && !rec.over() && c.view.done[id] == nil:
 		t.Why = "no task has started yet"
 	case t.Late && t.WaitedS > t.TookS/2:
 		t.Why = "waited for machines"
