Replicas move together; idle machines weighed by what users expect

Now a machine at most half used by replicas is emptied when all of them fit beside others with their image at hand, and spares and idle waits apply in full only where a class's wait aim is shorter than a boot.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -110,6 +110,8 @@
 	Beta float64 `yaml:"beta"`
 	// How long an idle machine is kept, in seconds.
 	IdleWaitS float64 `yaml:"idle_wait_s"`
+	// The same where users expect no start sooner than a machine boots.
+	LaxIdleWaitS float64 `yaml:"lax_idle_wait_s"`
 	// Window of the screen, in seconds.
 	ScreenWindowS float64 `yaml:"screen_window_s"`
 	// How long an arrival counts as recent, in seconds.
@@ -137,7 +139,7 @@
 // DefaultTuning holds the named defaults.
 func DefaultTuning() Tuning {
 	return Tuning{
-		Alpha: 50, Beta: 1, IdleWaitS: 25,
+		Alpha: 50, Beta: 1, IdleWaitS: 25, LaxIdleWaitS: 8,
 		ScreenWindowS: 120, RecencyS: 60, SpareMin: 1, SpareMax: 4,
 		ScreenMinSamples: 3, ScreenMaxSamples: 1000,
 		ScreenCV: 0.45, ScreenLag: 0.65, ScreenKS: 3.75,
@@ -262,6 +264,7 @@
 		{notNegative(t.Alpha), "alpha", "is below 0"},
 		{notNegative(t.Beta), "beta", "is below 0"},
 		{notNegative(t.IdleWaitS), "idle_wait_s", "is below 0"},
+		{notNegative(t.LaxIdleWaitS) && t.LaxIdleWaitS <= t.IdleWaitS, "lax_idle_wait_s", "is not between 0 and idle_wait_s"},
 		{positive(t.ScreenWindowS), "screen_window_s", "is not above 0"},
 		{notNegative(t.RecencyS), "recency_s", "is below 0"},
 		{t.SpareMin >= 0, "spare_min", "is below 0"},
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -40,6 +40,7 @@
 	unknown map[string]clock.Micros
 
 	names      int
+	drainedAt  clock.Micros
 	dirty      bool
 	planAt     clock.Micros
 	slowAt     clock.Micros
@@ -94,13 +95,19 @@
 	})
 	t := &c.tuning
 	l.pl = planner.New(planner.Params{
-		Alpha: t.Alpha, Beta: t.Beta, IdleWait: clock.FromSeconds(t.IdleWaitS),
+		Alpha: t.Alpha, Beta: t.Beta, IdleWait: clock.FromSeconds(t.IdleWaitS), LaxIdleWait: clock.FromSeconds(t.LaxIdleWaitS),
 		Window: clock.FromSeconds(t.ScreenWindowS), Recency: clock.FromSeconds(t.RecencyS),
 		SpareMin: t.SpareMin, SpareMax: t.SpareMax,
 		MinSamples: t.ScreenMinSamples, MaxCount: t.ScreenMaxSamples, CV: t.ScreenCV, Lag: t.ScreenLag, KS: t.ScreenKS,
 		SmoothArrival: t.SmoothArrival, SmoothService: t.SmoothService, SmoothNeed: t.SmoothNeed,
 		Horizon: clock.FromSeconds(t.HorizonS), SpotPatience: clock.FromSeconds(t.SpotPatienceS),
 	}, c.types, c.teams, d.Zones)
+	l.pl.Waits = map[string]float64{}
+	for _, o := range d.Objectives {
+		if w, ok := l.pl.Waits[o.Class]; o.Kind == "wait" && (!ok || o.WithinS < w) {
+			l.pl.Waits[o.Class] = o.WithinS
+		}
+	}
 	l.listAt = now + 2*clock.Second
 	l.renew()
 
@@ -328,6 +335,12 @@
 		l.c.log.Debug("idle machine returned", "machine", m.Name)
 		l.delete(m)
 	}
+	if d.Drain != nil && now-l.drainedAt > drainEvery {
+		l.drainedAt = now
+		l.c.log.Debug("replicas move together", "from", d.Drain.Name)
+		l.drain(d.Drain)
+		d.Drain.Places(func(p *ledger.Placement) { l.lg.Stop(p, clock.FromSeconds(p.Job.Spec.SaveS)) })
+	}
 	for _, s := range []struct {
 		kind string
 		r    *planner.SpareReport
@@ -337,6 +350,9 @@
 	}
 }
 
+// drainEvery bounds how often replicas are moved together.
+const drainEvery = 10 * clock.Second
+
 // hiresAtOnce bounds the rentals under way.
 const hiresAtOnce = 4
 
--- a/internal/planner/model.go
+++ b/internal/planner/model.go
@@ -17,8 +17,11 @@
 // Params are the settings of the model; the paper's symbols are in the names
 // of the operators' file.
 type Params struct {
-	Alpha, Beta          float64
-	IdleWait             clock.Micros
+	Alpha, Beta float64
+	IdleWait    clock.Micros
+	// LaxIdleWait is the idle wait where users expect no start sooner than a
+	// machine boots.
+	LaxIdleWait          clock.Micros
 	Window, Recency      clock.Micros
 	SpareMin, SpareMax   int
 	MinSamples, MaxCount int
@@ -184,6 +187,7 @@
 	run         float64 // EMA, seconds
 	gaps        int
 	needs       map[int]float64
+	wait        float64 // shortest wait expected of its classes, 0: none
 }
 
 // Arrived takes an arrival of a job that needs r machines.
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -43,6 +43,8 @@
 	Mark   []*ledger.Job
 	Rent   []Rent
 	Return []*ledger.Machine
+	// Drain is a machine whose replicas go to others, nil if none.
+	Drain *ledger.Machine
 	// Spot and Ordinary tell how the spare targets came about.
 	Spot, Ordinary SpareReport
 	// Next is when to plan again at the latest, 0 if nothing is pending.
@@ -63,6 +65,9 @@
 	Teams map[string]ledger.Team
 	Zones []string
 
+	// Waits are the shortest waits that users expect, in seconds by class.
+	Waits map[string]float64
+
 	runs     map[string]*RunTimes
 	spot     Demand
 	ordinary Demand
@@ -133,6 +138,12 @@
 
 // Arrived takes a new job.
 func (pl *Planner) Arrived(j *ledger.Job, now clock.Micros) {
+	if w, ok := pl.Waits[j.Spec.Class]; ok {
+		d := pl.demand(j)
+		if d.wait == 0 || w < d.wait {
+			d.wait = w
+		}
+	}
 	pl.demand(j).Arrived(now, pl.Machines(j), &pl.P)
 }
 
@@ -763,6 +774,84 @@
 	r.giveBack(true, keep, d)
 	d.Ordinary, keep = r.spareTarget(&r.pl.ordinary, false, q, hires, d)
 	r.giveBack(false, keep, d)
+	if len(q) == 0 && len(hires) == 0 {
+		d.Drain = r.consolidate(keep)
+	}
+}
+
+// pressing tells whether users expect starts of this kind of demand sooner
+// than a machine boots. Only then is an idle machine worth its price; where
+// they wait longer than a boot anyway, a machine rented on arrival does.
+func (pl *Planner) pressing(dm *Demand, boot clock.Micros) bool {
+	return dm.wait == 0 && len(pl.Waits) == 0 || dm.wait > 0 && dm.wait < boot.Seconds()
+}
+
+// settledFor is how long a replica has to run before it may be moved.
+const settledFor = 45 * clock.Second
+
+// consolidate picks an ordinary machine that is at most half used by replicas
+// alone, and whose replicas all fit where there are others and their image is
+// at hand: moved there they are away for a moment only, and the machine can be
+// given back. The free room that the spare target keeps is not touched.
+func (r *round) consolidate(keep int) *ledger.Machine {
+	var best *ledger.Machine
+	var spare float64
+	for _, m := range r.machines {
+		if m.Spot {
+			continue
+		}
+		if m.Draining || !m.Synced {
+			return nil // one at a time
+		}
+		spare += float64(m.Free().CPU) / float64(max(m.Cap.CPU, 1))
+	}
+	for _, m := range r.machines {
+		if m.Spot || !m.Usable() || m.Idle() || 2*m.Used().CPU > m.Cap.CPU || spare-1 < float64(keep) {
+			continue
+		}
+		if best != nil && best.Used().CPU <= m.Used().CPU {
+			continue
+		}
+		if r.movable(m) {
+			best = m
+		}
+	}
+	return best
+}
+
+func (r *round) movable(m *ledger.Machine) bool {
+	room := map[*ledger.Machine]ledger.Resources{}
+	ok := true
+	m.Places(func(p *ledger.Placement) {
+		j := p.Job
+		if !ok || !j.Service() || p.Stopping() || p.Started == 0 || r.now-p.Started < settledFor || j.Doubts() > 0 {
+			ok = false
+			return
+		}
+		for _, o := range r.machines {
+			if o == m || o.Spot && !j.Spec.Spot || !o.Usable() || r.services[o] == 0 || o.Used().CPU < m.Used().CPU {
+				continue
+			}
+			if _, cached := o.Images[j.Spec.Image]; !cached {
+				continue
+			}
+			// Within a zone nothing changes for the job's wishes; else they
+			// have to allow one more.
+			if o.Zone != m.Zone && !ledger.Allowed(j, o) || o.Type != m.Type && !ledger.Allowed(j, o) {
+				continue
+			}
+			free, seen := room[o]
+			if !seen {
+				free = o.Free()
+			}
+			if j.Need.Fits(free) {
+				room[o] = free.Sub(j.Need)
+				return
+			}
+		}
+		ok = false
+	})
+	return ok
 }
 
 func (r *round) spareTarget(dm *Demand, spot bool, q []*entry, hires []Hire, d *Decision) (SpareReport, int) {
@@ -807,6 +896,9 @@
 	if nearest > 0 && !math.IsInf(nearest, 1) {
 		in.LambdaC = 1 / nearest
 	}
+	if !r.pl.pressing(dm, r.pl.BootTime(typ, 50)) {
+		return rep, 0
+	}
 	rep.Cost = in.Choose(p.SpareMin, p.SpareMax, p.Alpha, p.Beta)
 	if lack := rep.Cost.X - in.Ready - len(in.Booting); lack > 0 && ok {
 		d.Rent = append(d.Rent, Rent{pool, lack})
@@ -836,9 +928,16 @@
 	return best, found
 }
 
+// minimumCharge is what a deleted machine costs at least; the protocol says so.
+const minimumCharge = 60 * clock.Second
+
 // giveBack returns machines that have been idle for the wait, but for those
 // that the spare target keeps.
 func (r *round) giveBack(spot bool, keep int, d *Decision) {
+	dm := &r.pl.ordinary
+	if spot {
+		dm = &r.pl.spot
+	}
 	var idle []*ledger.Machine
 	for _, m := range r.machines {
 		if m.Spot == spot && m.Usable() && m.Idle() && r.held[m] == (ledger.Resources{}) {
@@ -847,7 +946,13 @@
 	}
 	slices.SortStableFunc(idle, func(a, b *ledger.Machine) int { return -cmp.Compare(a.IdleAt, b.IdleAt) })
 	for i, m := range idle {
-		if i >= keep && r.now-max(m.IdleAt, m.UpAt) >= r.pl.P.IdleWait {
+		idle := r.now - max(m.IdleAt, m.UpAt)
+		wait := r.pl.P.IdleWait
+		if !r.pl.pressing(dm, r.pl.BootTime(m.Type, 50)) {
+			wait = r.pl.P.LaxIdleWait
+		}
+		// The first minute is paid whether it is used or not.
+		if i >= keep && idle >= wait && (r.now-m.Since >= minimumCharge || idle >= r.pl.P.IdleWait) {
 			d.Return = append(d.Return, m)
 		}
 	}
