--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -250,7 +250,9 @@
 	switch e.Why {
 	case wire.WhyDone:
 		if p.Started != 0 && p.Since > l.since && !j.Service() {
-			l.pl.Finished(j, (now - p.Started).Seconds(), now)
+			took := (now - p.Started).Seconds()
+			l.pl.Finished(j, took, now)
+			l.c.log.Debug("task done", "job", j.Spec.ID, "task", p.Index, "machine", p.Machine.Name, "took_s", took, "estimate_s", j.Spec.EstimateS)
 		}
 	case wire.WhyError:
 		// A faulty machine fails many jobs, a faulty job fails everywhere. The
