--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -864,7 +864,7 @@
 		return rep, 0
 	}
 	in := SpareInput{Lambda: dm.Rate(), Needs: dm.needs, Horizon: min(p.Horizon, p.IdleWait).Seconds()}
-	var spare float64
+	var spare, beside float64 // free room in machines: in all, and on used ones
 	nearest := math.Inf(1)
 	typ := ""
 	for _, m := range r.machines {
@@ -874,7 +874,11 @@
 		typ = m.Type
 		switch {
 		case m.Usable():
-			spare += float64(r.free(m).CPU) / float64(max(m.Cap.CPU, 1))
+			room := float64(r.free(m).CPU) / float64(max(m.Cap.CPU, 1))
+			spare += room
+			if !m.Idle() {
+				beside += room
+			}
 		case m.UpAt == 0:
 			in.Booting = append(in.Booting, max((r.pl.BootTime(m.Type, 50)-(r.now-m.Since)).Seconds(), 0))
 		}
@@ -903,7 +907,9 @@
 	if lack := rep.Cost.X - in.Ready - len(in.Booting); lack > 0 && ok {
 		d.Rent = append(d.Rent, Rent{pool, lack})
 	}
-	return rep, rep.Cost.X
+	// The room beside running tasks is part of the target; whole idle machines
+	// are kept only for the rest of it.
+	return rep, max(rep.Cost.X-int(beside), 0)
 }
 
 // sparePool picks where a spare machine is rented.
