Spares are counted in typical parts of a machine

Cause: a replica takes a 32nd of a machine, and a whole ordinary machine was rented and given back in turn as its spare. Each kind of demand now learns which part of a machine its jobs use of each one they ask for; x counts such parts.

--- a/internal/planner/model.go
+++ b/internal/planner/model.go
@@ -187,11 +187,19 @@
 	run         float64 // EMA, seconds
 	gaps        int
 	needs       map[int]float64
+	unit        float64 // EMA of the part of a machine that is used of each asked for
 	wait        float64 // shortest wait expected of its classes, 0: none
 }
 
-// Arrived takes an arrival of a job that needs r machines.
-func (d *Demand) Arrived(now clock.Micros, r int, p *Params) {
+// Arrived takes an arrival of a job that needs r machines, and so much of them
+// in all.
+func (d *Demand) Arrived(now clock.Micros, r int, share float64, p *Params) {
+	part := min(max(share/float64(max(r, 1)), 0.01), 1)
+	if d.unit == 0 {
+		d.unit = part
+	} else {
+		d.unit += p.SmoothNeed * (part - d.unit)
+	}
 	if d.lastArrival != 0 {
 		g := (now - d.lastArrival).Seconds()
 		d.Gaps.Add(now, g)
@@ -243,6 +251,10 @@
 
 // SpareInput is what the choice of the spare target rests on.
 type SpareInput struct {
+	// Unit is the machine that spares are counted in: the part of a machine
+	// that jobs use of each one that they ask for. Several tasks share a
+	// machine here, which the paper's jobs do not.
+	Unit    float64
 	Lambda  float64         // arrivals a second
 	LambdaC float64         // completions a second
 	Needs   map[int]float64 // weight of a next job that asks for r machines
@@ -311,7 +323,7 @@
 			c.W = in.Lambda / rate * sum / weight
 		}
 	}
-	c.E = float64(x) * horizon
+	c.E = float64(x) * in.Unit * horizon
 	c.J = alpha*c.W + beta*c.E
 	return c
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -122,18 +122,21 @@
 	return n
 }
 
-// Machines is a job's need in machines of the type that holds most of it.
-func (pl *Planner) Machines(j *ledger.Job) int {
+// share is how much of machines a job takes in all, of the type that holds most
+// of its tasks.
+func (pl *Planner) share(j *ledger.Job) float64 {
 	best := 0
 	for name := range pl.Types {
 		if j.Spec.Types == nil || slices.Contains(j.Spec.Types, name) {
 			best = max(best, pl.perMachine(j.Need, name))
 		}
 	}
-	if best == 0 {
-		return 1
-	}
-	return (len(j.Tasks) + best - 1) / best
+	return float64(len(j.Tasks)) / float64(max(best, 1))
+}
+
+// Machines is a job's need in machines of the type that holds most of it.
+func (pl *Planner) Machines(j *ledger.Job) int {
+	return max(int(math.Ceil(pl.share(j)-1e-9)), 1)
 }
 
 // Arrived takes a new job.
@@ -144,7 +147,7 @@
 			d.wait = w
 		}
 	}
-	pl.demand(j).Arrived(now, pl.Machines(j), &pl.P)
+	pl.demand(j).Arrived(now, pl.Machines(j), pl.share(j), &pl.P)
 }
 
 // Finished takes a task's run time.
@@ -863,7 +866,7 @@
 	if !rep.Open {
 		return rep, 0
 	}
-	in := SpareInput{Lambda: dm.Rate(), Needs: dm.needs, Horizon: min(p.Horizon, p.IdleWait).Seconds()}
+	in := SpareInput{Unit: dm.unit, Lambda: dm.Rate(), Needs: dm.needs, Horizon: min(p.Horizon, p.IdleWait).Seconds()}
 	var spare, beside float64 // free room in machines: in all, and on used ones
 	nearest := math.Inf(1)
 	typ := ""
@@ -896,7 +899,7 @@
 			}
 		}
 	}
-	in.Ready = int(spare)
+	in.Ready = int(spare / dm.unit)
 	if nearest > 0 && !math.IsInf(nearest, 1) {
 		in.LambdaC = 1 / nearest
 	}
@@ -904,12 +907,13 @@
 		return rep, 0
 	}
 	rep.Cost = in.Choose(p.SpareMin, p.SpareMax, p.Alpha, p.Beta)
-	if lack := rep.Cost.X - in.Ready - len(in.Booting); lack > 0 && ok {
+	target := float64(rep.Cost.X) * dm.unit
+	if lack := int(math.Ceil(target - spare - float64(len(in.Booting)) - 1e-9)); lack > 0 && ok {
 		d.Rent = append(d.Rent, Rent{pool, lack})
 	}
 	// The room beside running tasks is part of the target; whole idle machines
 	// are kept only for the rest of it.
-	return rep, max(rep.Cost.X-int(beside), 0)
+	return rep, max(int(math.Ceil(target-beside-1e-9)), 0)
 }
 
 // sparePool picks where a spare machine is rented.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -27,7 +27,7 @@
 // new one takes 20 s; the next job asks for 1, 2 or 3 machines with weights
 // 0.5, 0.3 and 0.2.
 func TestCostByHand(t *testing.T) {
-	in := SpareInput{Lambda: 0.1, LambdaC: 0.1, Needs: map[int]float64{1: 0.5, 2: 0.3, 3: 0.2}, Ready: 1, Booting: []float64{6}, BootS: 20}
+	in := SpareInput{Unit: 1, Lambda: 0.1, LambdaC: 0.1, Needs: map[int]float64{1: 0.5, 2: 0.3, 3: 0.2}, Ready: 1, Booting: []float64{6}, BootS: 20}
 	left6 := 6 - (1-math.Exp(-1.2))/0.2
 	left20 := 20 - (1-math.Exp(-4))/0.2
 	for _, c := range []struct {
@@ -44,6 +44,11 @@
 			t.Errorf("x=%d: W=%v E=%v J=%v, want W=%v E=%v", c.x, got.W, got.E, got.J, c.w, c.e)
 		}
 	}
+	in.Unit = 0.25 // four typical jobs to a machine: a spare costs a quarter
+	if got := in.Cost(2, 50, 1); !near(got.E, 2.5) || !near(got.W, 0.5*(0.3*left6+0.2*20)) {
+		t.Errorf("a quarter machine: %+v", got)
+	}
+	in.Unit = 1
 	in.Horizon = 4
 	if got, want := in.Cost(1, 50, 1).E, (1-math.Exp(-0.8))/0.2; !near(got, want) {
 		t.Errorf("capped horizon: %v, want %v", got, want)
@@ -53,7 +58,7 @@
 func TestChoiceAgainstBruteForce(t *testing.T) {
 	rng := rand.New(rand.NewPCG(3, 3))
 	for n := 0; n < 2000; n++ {
-		in := SpareInput{Lambda: rng.Float64(), LambdaC: rng.Float64(), Ready: rng.IntN(4), BootS: 30 * rng.Float64(), Needs: map[int]float64{}}
+		in := SpareInput{Unit: 0.01 + rng.Float64(), Lambda: rng.Float64(), LambdaC: rng.Float64(), Ready: rng.IntN(4), BootS: 30 * rng.Float64(), Needs: map[int]float64{}}
 		for i := rng.IntN(4); i > 0; i-- {
 			in.Booting = append(in.Booting, 20*rng.Float64())
 		}
