--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -230,6 +230,9 @@
 func (l *lead) settle(now clock.Micros) {
 	for _, p := range l.lg.Begun {
 		j := p.Job
+		if j.Service() {
+			l.c.log.Debug("replica up", "job", j.Spec.ID, "task", p.Index, "machine", p.Machine.Name)
+		}
 		if j.FirstStart == 0 {
 			j.FirstStart = now
 			if a := l.jobs[j.Spec.ID]; a != nil && a.first == 0 {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -831,13 +831,11 @@
 			ok = false
 			return
 		}
+		placed := false
 		for _, o := range r.machines {
 			if o == m || o.Spot && !j.Spec.Spot || !o.Usable() || r.services[o] == 0 || o.Used().CPU < m.Used().CPU {
 				continue
 			}
-			if _, cached := o.Images[j.Spec.Image]; !cached {
-				continue
-			}
 			// Within a zone nothing changes for the job's wishes; else they
 			// have to allow one more.
 			if o.Zone != m.Zone && !ledger.Allowed(j, o) || o.Type != m.Type && !ledger.Allowed(j, o) {
@@ -847,12 +845,21 @@
 			if !seen {
 				free = o.Free()
 			}
-			if j.Need.Fits(free) {
-				room[o] = free.Sub(j.Need)
+			if !j.Need.Fits(free) {
+				continue
+			}
+			// Which of the machines it will be is settled only when it has
+			// stopped: each has to have the image, or it is away for a fetch.
+			if _, cached := o.Images[j.Spec.Image]; !cached {
+				ok = false
 				return
 			}
+			if !placed {
+				room[o] = free.Sub(j.Need)
+				placed = true
+			}
 		}
-		ok = false
+		ok = ok && placed
 	})
 	return ok
 }
