--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -329,7 +329,8 @@
 	machines []*ledger.Machine
 	held     map[*ledger.Machine]ledger.Resources // promised to jobs not yet marked
 	fetching map[*ledger.Machine]map[string]bool
-	services map[*ledger.Machine]int // replicas on it
+	services map[*ledger.Machine]int     // replicas on it
+	busy     map[*ledger.Machine]float64 // seconds until its last task ends
 }
 
 func (r *round) free(m *ledger.Machine) ledger.Resources { return m.Free().Sub(r.held[m]) }
@@ -337,7 +338,7 @@
 // Plan places what fits, and works out what to rent and to give back.
 func (pl *Planner) Plan(l *ledger.Ledger, now clock.Micros, hires []Hire) Decision {
 	r := &round{pl: pl, l: l, now: now, held: map[*ledger.Machine]ledger.Resources{}, fetching: map[*ledger.Machine]map[string]bool{},
-		services: map[*ledger.Machine]int{}}
+		services: map[*ledger.Machine]int{}, busy: map[*ledger.Machine]float64{}}
 	for _, m := range l.Machines {
 		r.machines = append(r.machines, m)
 	}
@@ -348,6 +349,7 @@
 			if p.Job.Service() {
 				r.services[m]++
 			}
+			r.busy[m] = max(r.busy[m], r.pl.remaining(p, now))
 			if p.Started == 0 && !p.Stopping() {
 				f[p.Job.Spec.Image] = true
 			}
@@ -415,6 +417,13 @@
 	if n := j.ErrorsOn[m.Name]; n > 0 {
 		s -= 1000
 	}
+	if !j.Service() {
+		// A machine is paid for until its last task ends: a task goes where it
+		// prolongs that least.
+		run := r.pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)
+		longer := max(run-r.busy[m], 0)
+		s -= 8 * longer / (longer + 30)
+	}
 	if m.Cap.CPU > 0 {
 		s += 5 * float64(m.Used().CPU+r.held[m].CPU) / float64(m.Cap.CPU)
 	}
