A free lock is stood for at once

Ruled out: the watch (it reports keys that go with a lease). Now the look has a time of its own. A test stands for it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -169,8 +169,12 @@
 		case election.Revoke:
 			go func() {
 				if err := c.store.Revoke(a.Lease); err != nil {
-					c.log.Debug("lease not revoked", "error", err)
+					c.log.Debug("lease not revoked", "lease", a.Lease, "error", err)
+				} else {
+					c.log.Debug("lease revoked", "lease", a.Lease)
 				}
+				// What it held is gone now; nobody else may have noticed.
+				c.post(func() { c.view.wantSync(func(error) {}, clock.Now()+10*clock.Second) })
 			}()
 		case election.Refresh:
 			c.view.wantSync(func(error) {}, clock.Now()+10*clock.Second)
@@ -215,7 +219,8 @@
 	}
 	c.rebuilding = true
 	c.applyShares()
-	c.log.Info("lock won", "token", c.el.Token())
+	_, _, lease := c.el.Held()
+	c.log.Info("lock won", "token", c.el.Token(), "lease", lease)
 	c.takeOver()
 }
 
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -81,6 +81,7 @@
 	sentAt   clock.Micros // of the call in flight
 	inFlight bool
 	nextTry  clock.Micros
+	buryAt   clock.Micros
 	standOff clock.Micros // do not stand before this instant
 	dead     map[uint64]bool
 }
@@ -142,14 +143,15 @@
 			return m.demote(now)
 		}
 	}
-	return m.buryOld(l)
+	return m.buryOld(now, l)
 }
 
 // buryOld ends the lease of an earlier life of this member. That process is
 // dead: the platform runs one process of a member at a time.
-func (m *Machine) buryOld(l Lock) []Action {
+func (m *Machine) buryOld(now clock.Micros, l Lock) []Action {
 	if l.Exists && l.Holder == m.cfg.Member && l.Lease != 0 && l.Lease != m.lease && !m.dead[l.Lease] {
 		m.dead[l.Lease] = true
+		m.buryAt = now + m.cfg.TTL
 		return []Action{{Kind: Revoke, Lease: l.Lease}, {Kind: Refresh}}
 	}
 	return nil
@@ -165,11 +167,13 @@
 			m.sentAt = now
 			return []Action{{Kind: Grant}}
 		}
-		if m.known && m.lock.Exists && now >= m.nextTry {
-			// A revocation may have failed: look again, and bury again.
-			m.nextTry = now + m.cfg.TTL
+		if m.known && m.lock.Exists && now >= m.buryAt {
+			// A revocation may have failed: look again, and bury again. This has
+			// a time of its own: once it held back the candidacy too, and a free
+			// lock found no taker for a whole lock time.
+			m.buryAt = now + m.cfg.TTL
 			clear(m.dead)
-			return m.buryOld(m.lock)
+			return m.buryOld(now, m.lock)
 		}
 	case Acquiring:
 		if !m.inFlight && now >= m.nextTry {
@@ -304,3 +308,6 @@
 
 // TTL is the lock's time.
 func (m *Machine) TTL() clock.Micros { return m.cfg.TTL }
+
+// Held is what the member holds: its phase, its token, its lease.
+func (m *Machine) Held() (Phase, uint64, uint64) { return m.phase, m.token, m.lease }
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -287,3 +287,15 @@
 		t.Fatal("entitled past the lease")
 	}
 }
+
+// A lock that vanishes is stood for at once, however it was seen before.
+func TestFreeLockIsStoodForAtOnce(t *testing.T) {
+	m := New(Config{Member: "a", TTL: testTTL})
+	held := Lock{Exists: true, Holder: "b", Lease: 1, Version: 1}
+	m.Seen(1, held)
+	m.Tick(2)
+	m.Seen(3, Lock{})
+	if acts := m.Tick(3); len(acts) != 1 || acts[0].Kind != Grant {
+		t.Fatalf("%v", acts)
+	}
+}
