Jobs that can still be in time go before smaller ones of their rank

A job whose slack to its deadline (or its class's finishing aim) is small but not gone now goes first within rank and guarantee; a late one does not.

--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -102,8 +102,11 @@
 		SmoothArrival: t.SmoothArrival, SmoothService: t.SmoothService, SmoothNeed: t.SmoothNeed,
 		Horizon: clock.FromSeconds(t.HorizonS), SpotPatience: clock.FromSeconds(t.SpotPatienceS),
 	}, c.types, c.teams, d.Zones)
-	l.pl.Waits = map[string]float64{}
+	l.pl.Waits, l.pl.Due = map[string]float64{}, map[string]float64{}
 	for _, o := range d.Objectives {
+		if e, ok := l.pl.Due[o.Class]; o.Kind == "finished" && (!ok || o.WithinS < e) {
+			l.pl.Due[o.Class] = o.WithinS
+		}
 		if w, ok := l.pl.Waits[o.Class]; o.Kind == "wait" && (!ok || o.WithinS < w) {
 			l.pl.Waits[o.Class] = o.WithinS
 		}
@@ -322,7 +325,7 @@
 			})
 		}
 	}
-	d := l.pl.Plan(l.lg, now, pending)
+	d := l.pl.Plan(l.lg, now, clock.Wall(), pending)
 	l.settle(now)
 	for _, j := range d.Mark {
 		l.mark(j)
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -65,6 +65,9 @@
 	Teams map[string]ledger.Team
 	Zones []string
 
+	// Due are the times within which users expect jobs to be done, in seconds
+	// by class, where a job has no deadline of its own.
+	Due map[string]float64
 	// Waits are the shortest waits that users expect, in seconds by class.
 	Waits map[string]float64
 
@@ -235,6 +238,7 @@
 type entry struct {
 	job   *ledger.Job
 	owed  bool
+	tight bool // can still be in time, if it starts soon
 	need  int
 	run   float64
 	tasks []int // waiting tasks that may be placed now
@@ -270,13 +274,14 @@
 }
 
 // queue lists the waiting jobs in SNF order, inside rank and guarantee.
-func (pl *Planner) queue(l *ledger.Ledger, owed map[*ledger.Job]bool, now clock.Micros) []*entry {
+func (pl *Planner) queue(l *ledger.Ledger, owed map[*ledger.Job]bool, now, wall clock.Micros) []*entry {
 	var q []*entry
 	for _, j := range l.Jobs {
 		if j.Withdrawn || j.WaitingCount() == 0 || j.WaitingCount() == j.Doubts() {
 			continue
 		}
 		e := &entry{job: j, owed: owed[j], need: 1, run: pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)}
+		e.tight = pl.tight(j, e.run, wall)
 		if j.Gang() {
 			e.need = pl.Machines(j)
 			// A gang starts whole, or waits.
@@ -306,6 +311,7 @@
 		return cmp.Or(
 			cmp.Compare(a.job.Priority, b.job.Priority),
 			-cmp.Compare(btoi(a.owed), btoi(b.owed)),
+			-cmp.Compare(btoi(a.tight), btoi(b.tight)),
 			cmp.Compare(a.need, b.need),
 			cmp.Compare(a.run, b.run),
 			cmp.Compare(a.job.Submitted, b.job.Submitted),
@@ -314,6 +320,25 @@
 	return q
 }
 
+// tight tells whether a job's time has come: its run still fits before its due
+// time, with little to spare. By need and run time alone, the last tasks of a
+// long job wait for every shorter one that comes. A job that is late anyway has
+// no such claim.
+func (pl *Planner) tight(j *ledger.Job, run float64, wall clock.Micros) bool {
+	due := j.Spec.DeadlineS
+	if due == 0 {
+		due = pl.Due[j.Spec.Class]
+	}
+	if due == 0 || j.Service() {
+		return false
+	}
+	slack := due - (wall - j.Submitted).Seconds() - run
+	return slack >= 0 && slack < max(run/4, tightSlack)
+}
+
+// tightSlack is the least slack, in seconds, that makes a job go first.
+const tightSlack = 20
+
 func btoi(b bool) int {
 	if b {
 		return 1
@@ -335,8 +360,9 @@
 
 func (r *round) free(m *ledger.Machine) ledger.Resources { return m.Free().Sub(r.held[m]) }
 
-// Plan places what fits, and works out what to rent and to give back.
-func (pl *Planner) Plan(l *ledger.Ledger, now clock.Micros, hires []Hire) Decision {
+// Plan places what fits, and works out what to rent and to give back; wall is
+// the time of day, which deadlines are reckoned in.
+func (pl *Planner) Plan(l *ledger.Ledger, now, wall clock.Micros, hires []Hire) Decision {
 	r := &round{pl: pl, l: l, now: now, held: map[*ledger.Machine]ledger.Resources{}, fetching: map[*ledger.Machine]map[string]bool{},
 		services: map[*ledger.Machine]int{}, busy: map[*ledger.Machine]float64{}}
 	for _, m := range l.Machines {
@@ -358,7 +384,7 @@
 	}
 	var d Decision
 	owed := pl.owed(l)
-	q := pl.queue(l, owed, now)
+	q := pl.queue(l, owed, now, wall)
 	for _, e := range q {
 		e.limit = r.allowance(e.job)
 		var placed int
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -206,7 +206,7 @@
 			s.job(w)
 		}
 		for k := 0; k < 3; k++ {
-			d := s.pl.Plan(s.l, s.now, nil)
+			d := s.pl.Plan(s.l, s.now, s.now, nil)
 			for _, r := range d.Rent {
 				if r.Count < 1 || r.Count > wire.MaxHire {
 					t.Fatalf("scene %d: rents %d", n, r.Count)
@@ -268,7 +268,7 @@
 	s.job(wire.Job{ID: "req-000004", Team: "a", Tasks: 1, CPUs: 4, EstimateS: 90})
 	s.job(wire.Job{ID: "req-000005", Team: "b", Tasks: 1, CPUs: 4, EstimateS: 90, Priority: wire.PriorityProduction, Kind: wire.KindService})
 	var got []string
-	for _, e := range s.pl.queue(s.l, s.pl.owed(s.l), s.now) {
+	for _, e := range s.pl.queue(s.l, s.pl.owed(s.l), s.now, s.now) {
 		got = append(got, e.job.Spec.ID)
 	}
 	want := []string{"req-000005", "req-000004", "req-000002", "req-000001", "req-000003"}
@@ -277,16 +277,36 @@
 	}
 }
 
+// A long job whose deadline is near goes before shorter ones; one that is late
+// anyway does not.
+func TestTightDeadline(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 1, CPUs: 4, EstimateS: 20})
+	s.job(wire.Job{ID: "req-000002", Team: "a", Tasks: 1, CPUs: 4, EstimateS: 100, DeadlineS: 230})
+	s.job(wire.Job{ID: "req-000003", Team: "a", Tasks: 1, CPUs: 4, EstimateS: 100, DeadlineS: 150})
+	first := func(wall clock.Micros) string {
+		return s.pl.queue(s.l, nil, s.now, wall)[0].job.Spec.ID
+	}
+	for _, c := range []struct {
+		after clock.Micros
+		want  string
+	}{{0, "req-000001"}, {40 * clock.Second, "req-000003"}, {80 * clock.Second, "req-000001"}, {120 * clock.Second, "req-000002"}, {200 * clock.Second, "req-000001"}} {
+		if got := first(s.now + c.after); got != c.want {
+			t.Errorf("after %v s: %s first, want %s", c.after.Seconds(), got, c.want)
+		}
+	}
+}
+
 // A replica that finds no room takes that of batch work, of what started last.
 func TestPreemption(t *testing.T) {
 	s := newScene(map[string]ledger.Team{"a": {}})
 	m := s.machine("i-0", "small", "x", false)
 	old := s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 2, CPUs: 2, EstimateS: 50})
-	s.pl.Plan(s.l, s.now, nil)
+	s.pl.Plan(s.l, s.now, s.now, nil)
 	s.l.Orders(m, s.now) // sent: from here on only a stop ends them
 	s.now += 10 * clock.Second
 	serve := s.job(wire.Job{ID: "req-000002", Team: "a", Tasks: 1, CPUs: 2, Priority: wire.PriorityProduction, Kind: wire.KindService})
-	s.pl.Plan(s.l, s.now, nil)
+	s.pl.Plan(s.l, s.now, s.now, nil)
 	stopping := 0
 	for i := range old.Tasks {
 		if p := old.Tasks[i].Place; p != nil && p.Stopping() {
@@ -296,7 +316,7 @@
 	if stopping != 1 || serve.Active() != 0 {
 		t.Fatalf("%d stopped, %d replicas placed", stopping, serve.Active())
 	}
-	s.pl.Plan(s.l, s.now, nil)
+	s.pl.Plan(s.l, s.now, s.now, nil)
 	for i := range old.Tasks {
 		if p := old.Tasks[i].Place; p != nil && p.Stopping() {
 			stopping--
@@ -311,21 +331,21 @@
 func TestRefusedPoolIsLeftAlone(t *testing.T) {
 	s := newScene(map[string]ledger.Team{"a": {}})
 	s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 3, CPUs: 16, EstimateS: 50, Types: []string{"big"}})
-	first := s.pl.Plan(s.l, s.now, nil).Rent
+	first := s.pl.Plan(s.l, s.now, s.now, nil).Rent
 	if len(first) == 0 {
 		t.Fatal("nothing is rented")
 	}
 	for _, r := range first {
 		s.pl.Refused(r.Pool, s.now)
 	}
-	for _, r := range s.pl.Plan(s.l, s.now, nil).Rent {
+	for _, r := range s.pl.Plan(s.l, s.now, s.now, nil).Rent {
 		for _, f := range first {
 			if f.Pool == r.Pool {
 				t.Fatalf("%v is asked again at once", r.Pool)
 			}
 		}
 	}
-	if len(s.pl.Plan(s.l, s.now+60*clock.Second, nil).Rent) == 0 {
+	if len(s.pl.Plan(s.l, s.now+60*clock.Second, s.now+60*clock.Second, nil).Rent) == 0 {
 		t.Fatal("never asked again")
 	}
 }
@@ -340,6 +360,6 @@
 	}
 	b.ReportAllocs()
 	for i := 0; i < b.N; i++ {
-		s.pl.Plan(s.l, s.now, nil)
+		s.pl.Plan(s.l, s.now, s.now, nil)
 	}
 }
