--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -233,9 +233,8 @@
 func (l *lead) settle(now clock.Micros) {
 	for _, p := range l.lg.Begun {
 		j := p.Job
-		if j.Service() {
-			l.c.log.Debug("replica up", "job", j.Spec.ID, "task", p.Index, "machine", p.Machine.Name)
-		}
+		l.c.log.Debug("task up", "job", j.Spec.ID, "task", p.Index, "class", j.Spec.Class, "machine", p.Machine.Name,
+			"waited_s", (clock.Wall() - j.Submitted).Seconds(), "placed_s", (now - p.Since).Seconds())
 		if j.FirstStart == 0 {
 			j.FirstStart = now
 			if a := l.jobs[j.Spec.ID]; a != nil && a.first == 0 {
