--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -129,8 +129,10 @@
 	out := http1.AppendRequest(make([]byte, 0, 160+len(r.Body)), r.Method, r.Target, host, r.Body)
 	// The check comes last before the write: a process that was paused between
 	// the decision and this line must not act on an entitlement that is over.
-	if r.Until != nil && clock.Now() >= r.Until() {
-		return nil, ErrLate
+	if r.Until != nil {
+		if until := r.Until(); clock.Now() >= until {
+			return nil, ErrLate
+		}
 	}
 	if _, err := c.c.Write(out); err != nil {
 		return nil, err
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,6 +47,8 @@
 	counts     map[string]peer.Count // progress of jobs as the leader last told
 	workers    map[string]clock.Micros
 	nextBeat   clock.Micros
+	dropLogAt  clock.Micros
+	dropsTold  int64
 	unfit      atomic.Bool // users should not be sent here
 
 }
@@ -252,6 +254,17 @@
 	}, clock.Now()+2*clock.Second)
 }
 
+// dropped logs an answer that was malformed or made no sense, at a bounded
+// rate; the count goes on meanwhile.
+func (c *Core) dropped(what string, args ...any) {
+	now := clock.Now()
+	if now < c.dropLogAt {
+		return
+	}
+	c.dropLogAt = now + 5*clock.Second
+	c.log.Error(what, append(args, "dropped_so_far", c.store.Dropped.Load())...)
+}
+
 func (c *Core) stepDown(why string) {
 	if c.lead == nil {
 		return
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -329,6 +329,10 @@
 		return
 	}
 	c.nextBeat = now + beatEvery
+	if n := c.store.Dropped.Load(); n > c.dropsTold {
+		c.dropped("answers of the state service were dropped")
+		c.dropsTold = n
+	}
 	c.judge(now)
 	b := &peer.Beat{
 		Member: c.cfg.Member,
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -210,7 +210,7 @@
 
 func (c *Core) malformed(key string, err error) {
 	c.store.Dropped.Add(1)
-	c.log.Error("a record makes no sense", "key", key, "error", err)
+	c.dropped("a record makes no sense", "key", key, "error", err)
 }
 
 func (c *Core) put(key string, value []byte, version uint64) {
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,190 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/peer"
+	"firwood.dev/firwood/wire"
+)
+
+// echo answers everything with what was asked, some of it from elsewhere.
+type echo struct{ late clock.Micros }
+
+func (e *echo) Submit(j *wire.Job, r *Reply) { r.Send(201, []byte(`"`+j.ID+`"`), 0) }
+func (e *echo) Show(id string, r *Reply) {
+	go r.Send(200, []byte(`"`+id+`"`), 0)
+}
+func (e *echo) Withdraw(id string, r *Reply) { r.Send(503, ErrorBody("later"), 3) }
+func (e *echo) Checkin(_ *wire.Report, r *Reply) {
+	r.SendUntil(200, []byte(`{}`), 0, e.late)
+}
+func (e *echo) Up() bool         { return true }
+func (e *echo) Morning(r *Reply) { r.Send(200, []byte(`{}`), 0) }
+func (e *echo) Beat(*peer.Beat)  {}
+
+func start(t *testing.T, app App, most int) (string, string) {
+	t.Helper()
+	port := func() string {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	cfg := Config{Serve: port(), Peer: port(), MaxConns: most, Idle: 60 * clock.Second, Half: clock.Second}
+	s := New(cfg, app, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	go s.Run() //nolint:errcheck // runs until the test process ends
+	for i := 0; i < 200; i++ {
+		if c, err := net.Dial("tcp4", cfg.Serve); err == nil {
+			c.Close()
+			return cfg.Serve, cfg.Peer
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the server does not listen")
+	return "", ""
+}
+
+// raw sends bytes and returns the status of the first answer, 0 if the
+// connection was closed without one.
+func raw(t *testing.T, addr, bytes string) int {
+	t.Helper()
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, bytes) //nolint:errcheck // the server may close early
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	res.Body.Close()
+	return res.StatusCode
+}
+
+func TestRoutesAndBadInput(t *testing.T) {
+	addr, peerAddr := start(t, &echo{late: 1}, 100)
+	post := func(path, body string) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+	}
+	for _, c := range []struct {
+		in     string
+		status int
+	}{
+		{"GET /up HTTP/1.1\r\n\r\n", 200},
+		{"POST /up HTTP/1.1\r\n\r\n", 405},
+		{"GET /nowhere HTTP/1.1\r\n\r\n", 404},
+		{"GET /api/jobs/req-000001 HTTP/1.1\r\n\r\n", 200},
+		{"GET /api/jobs/x HTTP/1.1\r\n\r\n", 404},
+		{"DELETE /api/jobs/req-000001 HTTP/1.1\r\n\r\n", 405},
+		{post("/api/jobs/req-000001/withdraw", "{}"), 503},
+		{post("/api/jobs", "{"), 400},
+		{post("/api/jobs", "[]"), 400},
+		{post("/checkin", "{}"), 400},
+		{post("/checkin", `{"box":"i-1","tick":18446744073709551616}`), 400},
+		// Its entitlement has passed when the answer is written.
+		{post("/checkin", `{"box":"i-1"}`), 503},
+		{"POST /api/jobs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413},
+		{"GET /up HTTP/1.1\r\nA: " + strings.Repeat("a", 9000), 431},
+		{"nonsense\r\n\r\n", 400},
+		{"POST /api/jobs HTTP/1.1\r\nContent-Length: 10\r\n\r\n{", 0}, // never ends
+	} {
+		if got := raw(t, addr, c.in); got != c.status {
+			t.Errorf("%.50q: %d, want %d", c.in, got, c.status)
+		}
+	}
+	// Garbage on both ports ends connections, never the process.
+	rng := rand.New(rand.NewPCG(8, 8))
+	for i := 0; i < 60; i++ {
+		b := make([]byte, 1+rng.IntN(400))
+		for k := range b {
+			b[k] = byte(rng.Uint32())
+		}
+		for _, a := range []string{addr, peerAddr} {
+			c, err := net.Dial("tcp4", a)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Write(b) //nolint:errcheck // the server may close early
+			c.Close()
+		}
+	}
+	if got := raw(t, addr, "GET /up HTTP/1.1\r\n\r\n"); got != 200 {
+		t.Fatalf("after the garbage: %d", got)
+	}
+}
+
+// Requests that come at once are answered one after the other, in order.
+func TestOrderOnOneConnection(t *testing.T) {
+	addr, _ := start(t, &echo{}, 100)
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	var all strings.Builder
+	for i := 0; i < 50; i++ {
+		fmt.Fprintf(&all, "GET /api/jobs/req-%06d HTTP/1.1\r\n\r\n", i)
+	}
+	if _, err := io.WriteString(c, all.String()); err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(c)
+	for i := 0; i < 50; i++ {
+		res, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := io.ReadAll(res.Body)
+		if want := fmt.Sprintf(`"req-%06d"`, i); err != nil || string(b) != want {
+			t.Fatalf("answer %d is %s: %v", i, b, err)
+		}
+	}
+}
+
+// More connections than the bound allows are closed at once; the others live.
+func TestBoundOfConnections(t *testing.T) {
+	addr, _ := start(t, &echo{}, 5)
+	var conns []net.Conn
+	defer func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}()
+	closed := 0
+	for i := 0; i < 12; i++ {
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	for _, c := range conns {
+		c.SetDeadline(time.Now().Add(20 * time.Second)) //nolint:errcheck // a bound of the test
+		io.WriteString(c, "GET /up HTTP/1.1\r\n\r\n")   //nolint:errcheck // may be closed
+		if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+			closed++
+		}
+	}
+	if closed < 7 || closed > 8 {
+		t.Fatalf("%d of 12 connections were closed with a bound of 5", closed)
+	}
+}
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,149 @@
+package state
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+
+	"firwood.dev/firwood/internal/client"
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/standin"
+	"firwood.dev/firwood/wire"
+)
+
+func open(t *testing.T) (*Client, *standin.State) {
+	t.Helper()
+	s, stop := standin.NewState()
+	t.Cleanup(stop)
+	c := New(s.Addr, Limits{RPS: 1000, WriteRPS: 1000, TxnOps: 4, ValueBytes: 8192}, "lead")
+	c.SetShare(1)
+	return c, s
+}
+
+type outcome struct {
+	o   Outcome
+	rev uint64
+}
+
+func commit(t *testing.T, c *Client, ws ...*Write) []outcome {
+	t.Helper()
+	out := make([]outcome, len(ws))
+	var wg sync.WaitGroup
+	for i, w := range ws {
+		wg.Add(1)
+		w.Done = func(o Outcome, rev uint64) {
+			out[i] = outcome{o, rev}
+			wg.Done()
+		}
+		if !c.Commit(w) {
+			t.Fatal("refused")
+		}
+	}
+	wg.Wait()
+	return out
+}
+
+func put(key, value string) []wire.Change { return []wire.Change{{Put: key, Value: []byte(value)}} }
+
+// A write whose own condition fails does not fail those it went with, and a
+// lost lock fails all that were bound to it and no others.
+func TestGroupCommit(t *testing.T) {
+	c, s := open(t)
+	if o := commit(t, c, &Write{Then: put("a/0", "1")}); o[0].o != Committed {
+		t.Fatalf("%v", o)
+	}
+	var ws []*Write
+	for i := 0; i < 10; i++ {
+		k := fmt.Sprint("a/", i)
+		ws = append(ws, &Write{If: []wire.Condition{{Key: k}}, Then: put(k, "2")})
+	}
+	for i, o := range commit(t, c, ws...) {
+		want := Committed
+		if i == 0 {
+			want = Conflict
+		}
+		if o.o != want {
+			t.Errorf("write %d: %v", i, o)
+		}
+	}
+	if n := len(s.Keys("a/")); n != 10 {
+		t.Errorf("%d keys", n)
+	}
+	lock := commit(t, c, &Write{Then: put("lead", "{}")})[0].rev
+	o := commit(t, c, &Write{Fence: lock, Then: put("b/1", "1")}, &Write{Fence: lock - 1, Then: put("b/2", "1")}, &Write{Then: put("b/3", "1")})
+	if o[0].o != Committed || o[1].o != Fenced || o[2].o != Committed {
+		t.Errorf("%v", o)
+	}
+}
+
+func TestWatchAndLeases(t *testing.T) {
+	c, s := open(t)
+	lease, err := c.Grant(5 * clock.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := commit(t, c, &Write{Then: []wire.Change{{Put: "a/lock", Value: []byte("{}"), Lease: lease}}})
+	got := make(chan *wire.Events, 1)
+	go func() {
+		e, err := c.Watch("a/", o[0].rev, 20*clock.Second)
+		if err != nil {
+			t.Error(err)
+		}
+		got <- e
+	}()
+	if err := c.Revoke(lease); err != nil {
+		t.Fatal(err)
+	}
+	if e := <-got; e == nil || len(e.Events) != 1 || e.Events[0].Delete != "a/lock" {
+		t.Fatalf("%+v", e)
+	}
+	if err := c.Renew(lease, clock.Second); !errors.Is(err, ErrGone) {
+		t.Fatalf("renewal of an ended lease: %v", err)
+	}
+	items, rev, err := c.Load("a/")
+	if err != nil || len(items) != 0 || rev <= o[0].rev {
+		t.Fatalf("%v %d %v", items, rev, err)
+	}
+	s.SetDown(true)
+	if o := commit(t, c, &Write{Then: put("a/x", "1")}); o[0].o != Refused {
+		t.Fatalf("in an outage: %v", o)
+	}
+	if c.LastRefused() <= c.LastOK() {
+		t.Fatal("the refusal is not noted")
+	}
+}
+
+// What may no longer be sent is not sent; what was not sent is told from what
+// may have arrived.
+func TestSendLimits(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan int, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		b := make([]byte, 1000)
+		n, _ := c.Read(b) // the error shows in n
+		got <- n
+		c.Close()
+	}()
+	h := client.NewHost(l.Addr().String(), 1, 1000)
+	r := client.Request{Method: "POST", Target: "/x", Timeout: 5 * clock.Second, Until: func() clock.Micros { return 1 }}
+	if _, err := h.Do(r); !errors.Is(err, client.ErrLate) {
+		t.Fatalf("too late: %v", err)
+	}
+	if n := <-got; n != 0 {
+		t.Fatalf("%d bytes were sent too late", n)
+	}
+	l.Close()
+	var se *client.SendError
+	if _, err := h.Do(client.Request{Method: "GET", Target: "/", Timeout: clock.Second}); !errors.As(err, &se) {
+		t.Fatalf("nobody listens: %v", err)
+	}
+}
