Machines for replicas boot while their silent machine is not proven gone

Ruled out: the take-over itself (5 s). Replicas on machines that have fallen silent, or in doubt since a take-over, now count in what is rented, though nothing of them is started before the proof.

--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -102,6 +102,7 @@
 		SmoothArrival: t.SmoothArrival, SmoothService: t.SmoothService, SmoothNeed: t.SmoothNeed,
 		Horizon: clock.FromSeconds(t.HorizonS), SpotPatience: clock.FromSeconds(t.SpotPatienceS),
 	}, c.types, c.teams, d.Zones)
+	l.pl.Fresh, l.pl.Since = l.freshFor(), now
 	l.pl.Waits, l.pl.Due = map[string]float64{}, map[string]float64{}
 	for _, o := range d.Objectives {
 		if e, ok := l.pl.Due[o.Class]; o.Kind == "finished" && (!ok || o.WithinS < e) {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -68,6 +68,9 @@
 	// Due are the times within which users expect jobs to be done, in seconds
 	// by class, where a job has no deadline of its own.
 	Due map[string]float64
+	// Fresh is how long ago a machine that can be heard may have reported last;
+	// Since is when this leader took over.
+	Fresh, Since clock.Micros
 	// Waits are the shortest waits that users expect, in seconds by class.
 	Waits map[string]float64
 
@@ -239,6 +242,7 @@
 	job   *ledger.Job
 	owed  bool
 	tight bool // can still be in time, if it starts soon
+	ahead bool // its tasks are not known to be gone yet
 	need  int
 	run   float64
 	tasks []int // waiting tasks that may be placed now
@@ -672,7 +676,7 @@
 func (r *round) rent(q []*entry, hires []Hire, d *Decision) {
 	var slots []*slot
 	for _, m := range r.machines {
-		if m.Draining || m.TakenAt != 0 {
+		if m.Draining || m.TakenAt != 0 || m.UpAt != 0 && r.now-max(m.Heard, r.pl.Since) > r.pl.Fresh {
 			continue
 		}
 		s := &slot{pool: Pool{m.Type, m.Zone, m.Spot}, free: r.free(m), machine: m}
@@ -699,7 +703,7 @@
 		count[s.pool]++
 	}
 	var rents []*Rent // in the order of need
-	for _, e := range q {
+	for _, e := range append(r.missed(), q...) {
 		j := e.job
 		if e.left <= 0 {
 			continue
@@ -711,7 +715,7 @@
 			if !poolAllowed(j, p) || !j.Need.Fits(s.free) {
 				return false
 			}
-			return !j.Spec.Spread || j.InZone(p.Zone)+zones[p.Zone] < j.SpreadLimit()
+			return e.ahead || !j.Spec.Spread || j.InZone(p.Zone)+zones[p.Zone] < j.SpreadLimit()
 		}
 		take := func(s *slot) {
 			s.free = s.free.Sub(j.Need)
@@ -724,7 +728,7 @@
 			}
 		}
 		for n > 0 {
-			p, ok := r.bestPool(j, zones, count)
+			p, ok := r.bestPool(j, e.ahead, zones, count)
 			if !ok {
 				break
 			}
@@ -750,6 +754,33 @@
 	}
 }
 
+// missed lists replicas whose machine has fallen silent, or that are in doubt
+// since the take-over. Nothing of them may be started yet, but where they are
+// to go can boot meanwhile: when they are provably gone, a boot later is a
+// boot too late.
+func (r *round) missed() []*entry {
+	var out []*entry
+	for _, j := range r.l.Jobs {
+		if !j.Service() || j.Withdrawn || j.Priority != 0 {
+			continue
+		}
+		n := 0
+		if r.now-r.pl.Since > r.pl.Fresh {
+			n = j.Doubts()
+		}
+		for i := range j.Tasks {
+			if p := j.Tasks[i].Place; p != nil && !p.Machine.Draining && r.now-max(p.Machine.Heard, r.pl.Since) > r.pl.Fresh {
+				n++
+			}
+		}
+		if n > 0 {
+			out = append(out, &entry{job: j, left: n, ahead: true})
+		}
+	}
+	slices.SortFunc(out, func(a, b *entry) int { return cmp.Compare(a.job.Spec.ID, b.job.Spec.ID) })
+	return out
+}
+
 func poolAllowed(j *ledger.Job, p Pool) bool {
 	s := j.Spec
 	if p.Spot && !s.Spot || s.Zone != "" && s.Zone != p.Zone || s.Types != nil && !slices.Contains(s.Types, p.Type) {
@@ -765,7 +796,7 @@
 
 // bestPool picks where to rent one more machine for a job: the cheapest by
 // task, then the zone with the fewest machines, so that a loss hits little.
-func (r *round) bestPool(j *ledger.Job, zones map[string]int, count map[Pool]int) (Pool, bool) {
+func (r *round) bestPool(j *ledger.Job, ahead bool, zones map[string]int, count map[Pool]int) (Pool, bool) {
 	var best Pool
 	var cost float64
 	found := false
@@ -783,7 +814,7 @@
 				if j.Spec.Spot && !spot && t.SpotPrice > 0 && (j.Active() > 0 || r.now-j.Seen < r.pl.P.SpotPatience) {
 					continue // worth the wait for a spot machine
 				}
-				if j.Spec.Spread && j.InZone(z)+zones[z] >= j.SpreadLimit() {
+				if !ahead && j.Spec.Spread && j.InZone(z)+zones[z] >= j.SpreadLimit() {
 					continue
 				}
 				price := t.Price
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -327,6 +327,32 @@
 	}
 }
 
+// Where a replica is to go boots while its silent machine is not proven gone;
+// nothing of it is started before.
+func TestRentAheadForSilentMachines(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	s.pl.Fresh = 5 * clock.Second
+	m := s.machine("i-0", "small", "x", false)
+	j := s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 1, CPUs: 4, Priority: wire.PriorityProduction, Kind: wire.KindService})
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	if j.Active() != 1 {
+		t.Fatal("not placed")
+	}
+	s.l.Orders(m, s.now)
+	s.now += 4 * clock.Second
+	if d := s.pl.Plan(s.l, s.now, s.now, nil); len(d.Rent) != 0 {
+		t.Fatalf("rented too early: %v", d.Rent)
+	}
+	s.now += 2 * clock.Second
+	d := s.pl.Plan(s.l, s.now, s.now, nil)
+	if len(d.Rent) != 1 || d.Rent[0].Count != 1 || d.Rent[0].Pool.Spot {
+		t.Fatalf("rents %v", d.Rent)
+	}
+	if d := s.pl.Plan(s.l, s.now, s.now, []Hire{{Pool: d.Rent[0].Pool, Count: 1}}); len(d.Rent) != 0 || j.Active() != 1 {
+		t.Fatalf("rented twice: %v", d.Rent)
+	}
+}
+
 // An empty pool is left alone for a while, and the next zone is asked.
 func TestRefusedPoolIsLeftAlone(t *testing.T) {
 	s := newScene(map[string]ledger.Team{"a": {}})
