Gangs: machines rented in one zone when they ask for one, room by preemption

By reading: rents for a gang that wants one zone were spread over zones by their counts, so it might never fit; and nothing was stopped for a gang of higher rank. Tests stand for both.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -605,7 +605,7 @@
 	}
 	for _, e := range q {
 		j := e.job
-		if e.left <= 0 || j.Gang() || j.Priority != 0 && !e.owed {
+		if e.left <= 0 || j.Priority != 0 && !e.owed {
 			continue
 		}
 		mayStop := func(p *ledger.Placement) bool {
@@ -615,6 +615,10 @@
 			}
 			return v.Priority > j.Priority || e.owed && !owed[v] && v.Spec.Team != j.Spec.Team && v.Priority >= j.Priority && !v.Service()
 		}
+		if j.Gang() {
+			r.preemptForGang(j, room, mayStop, freeing, claimed)
+			continue
+		}
 		zones := map[string]int{}
 		for n := e.left; n > 0; n-- {
 			var best *ledger.Machine
@@ -628,14 +632,7 @@
 				var vs []*ledger.Placement
 				cost := 0.0
 				if !j.Need.Fits(have) {
-					m.Places(func(p *ledger.Placement) {
-						if mayStop(p) {
-							vs = append(vs, p)
-						}
-					})
-					slices.SortFunc(vs, func(a, b *ledger.Placement) int {
-						return cmp.Or(-cmp.Compare(a.Since, b.Since), cmp.Compare(a.Index, b.Index))
-					})
+					vs = stoppable(m, mayStop)
 					k := 0
 					for ; k < len(vs) && !j.Need.Fits(have); k++ {
 						have = have.Add(vs[k].Job.Need)
@@ -664,6 +661,74 @@
 	}
 }
 
+// preemptForGang stops work so that a whole gang finds room, or stops nothing.
+func (r *round) preemptForGang(j *ledger.Job, room func(*ledger.Machine) ledger.Resources, mayStop func(*ledger.Placement) bool,
+	freeing, claimed map[*ledger.Machine]ledger.Resources) {
+	zones := []string{""}
+	if j.Spec.OneZone {
+		zones = r.pl.Zones
+	}
+	for _, zone := range zones {
+		var victims []*ledger.Placement
+		taken := map[*ledger.Machine]int{}
+		byZone := map[string]int{}
+		left := len(j.Tasks)
+		machines := r.candidates(j, (*ledger.Machine).Usable)
+		// First what is free, or is being freed, then what has to be stopped.
+		for i, m := range append(slices.Clone(machines), machines...) {
+			if left == 0 || zone != "" && m.Zone != zone {
+				continue
+			}
+			var vs []*ledger.Placement
+			if i >= len(machines) {
+				vs = stoppable(m, mayStop)
+			}
+			have := room(m).Sub(j.Need.Times(taken[m]))
+			for left > 0 && !(j.Spec.Spread && byZone[m.Zone] >= j.SpreadLimit()) {
+				k := 0
+				with := have
+				for ; k < len(vs) && !j.Need.Fits(with); k++ {
+					with = with.Add(vs[k].Job.Need)
+				}
+				if !j.Need.Fits(with) {
+					break
+				}
+				victims = append(victims, vs[:k]...)
+				vs = vs[k:]
+				have = with.Sub(j.Need)
+				taken[m]++
+				byZone[m.Zone]++
+				left--
+			}
+		}
+		if left > 0 {
+			continue
+		}
+		for _, p := range victims {
+			freeing[p.Machine] = freeing[p.Machine].Add(p.Job.Need)
+			r.l.Stop(p, 0)
+		}
+		for m, n := range taken {
+			claimed[m] = claimed[m].Add(j.Need.Times(n))
+		}
+		return
+	}
+}
+
+// stoppable lists what may be stopped on a machine, what started last first.
+func stoppable(m *ledger.Machine, mayStop func(*ledger.Placement) bool) []*ledger.Placement {
+	var vs []*ledger.Placement
+	m.Places(func(p *ledger.Placement) {
+		if mayStop(p) {
+			vs = append(vs, p)
+		}
+	})
+	slices.SortFunc(vs, func(a, b *ledger.Placement) int {
+		return cmp.Or(-cmp.Compare(a.Since, b.Since), cmp.Compare(a.Index, b.Index))
+	})
+	return vs
+}
+
 // slot is a machine of the future: what will be free on it one boot time on.
 type slot struct {
 	pool    Pool
@@ -710,9 +775,10 @@
 		}
 		zones := map[string]int{}
 		n := e.left
+		only := r.onlyZone(j, slots)
 		fits := func(s *slot) bool {
 			p := s.pool
-			if !poolAllowed(j, p) || !j.Need.Fits(s.free) {
+			if !poolAllowed(j, p) || !j.Need.Fits(s.free) || only != "" && p.Zone != only {
 				return false
 			}
 			return e.ahead || !j.Spec.Spread || j.InZone(p.Zone)+zones[p.Zone] < j.SpreadLimit()
@@ -728,7 +794,7 @@
 			}
 		}
 		for n > 0 {
-			p, ok := r.bestPool(j, e.ahead, zones, count)
+			p, ok := r.bestPool(j, e.ahead, only, zones, count)
 			if !ok {
 				break
 			}
@@ -754,6 +820,41 @@
 	}
 }
 
+// onlyZone picks the zone that a job wants all its tasks in, if it wants that:
+// where its tasks are, else where most of them will find room, or a pool that
+// has not just refused. Machines rented in several zones would never do.
+func (r *round) onlyZone(j *ledger.Job, slots []*slot) string {
+	if !j.Spec.OneZone {
+		return ""
+	}
+	if z, ok := j.OnlyZone(); ok {
+		return z
+	}
+	if j.Spec.Zone != "" {
+		return j.Spec.Zone
+	}
+	best, most := "", -1
+	for _, z := range r.pl.Zones {
+		n := 0
+		for _, s := range slots {
+			if s.pool.Zone == z && poolAllowed(j, s.pool) {
+				for free := s.free; n < len(j.Tasks) && j.Need.Fits(free); n++ {
+					free = free.Sub(j.Need)
+				}
+			}
+		}
+		if _, ok := r.bestPool(j, false, z, nil, nil); ok {
+			n = max(n, 1)
+		} else if n < len(j.Tasks) {
+			n = 0 // it cannot grow there now
+		}
+		if n > most {
+			best, most = z, n
+		}
+	}
+	return best
+}
+
 // missed lists replicas whose machine has fallen silent, or that are in doubt
 // since the take-over. Nothing of them may be started yet, but where they are
 // to go can boot meanwhile: when they are provably gone, a boot later is a
@@ -796,7 +897,7 @@
 
 // bestPool picks where to rent one more machine for a job: the cheapest by
 // task, then the zone with the fewest machines, so that a loss hits little.
-func (r *round) bestPool(j *ledger.Job, ahead bool, zones map[string]int, count map[Pool]int) (Pool, bool) {
+func (r *round) bestPool(j *ledger.Job, ahead bool, only string, zones map[string]int, count map[Pool]int) (Pool, bool) {
 	var best Pool
 	var cost float64
 	found := false
@@ -806,6 +907,9 @@
 			continue
 		}
 		for _, z := range t.Zones {
+			if only != "" && z != only {
+				continue
+			}
 			for _, spot := range []bool{true, false} {
 				p := Pool{name, z, spot}
 				if !poolAllowed(j, p) || r.now < r.pl.pool(p).blockedUntil {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -327,6 +327,61 @@
 	}
 }
 
+// A gang of higher rank gets room whole, or nothing is stopped for it.
+func TestPreemptionForGang(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	for _, n := range []string{"i-0", "i-1"} {
+		s.machine(n, "small", "x", false)
+	}
+	batch := s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 4, CPUs: 2, EstimateS: 50})
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	for _, m := range s.l.Machines {
+		s.l.Orders(m, s.now)
+	}
+	stopping := func() (n int) {
+		for i := range batch.Tasks {
+			if p := batch.Tasks[i].Place; p != nil && p.Stopping() {
+				n++
+			}
+		}
+		return n
+	}
+	big := s.job(wire.Job{ID: "req-000002", Team: "a", Tasks: 3, CPUs: 4, Priority: wire.PriorityProduction, Kind: wire.KindGang})
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	if stopping() != 0 {
+		t.Fatal("work is stopped for a gang that cannot fit")
+	}
+	s.l.Withdraw(big, s.now)
+	s.job(wire.Job{ID: "req-000003", Team: "a", Tasks: 3, CPUs: 2, Priority: wire.PriorityProduction, Kind: wire.KindGang})
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	if stopping() != 3 {
+		t.Fatalf("%d tasks are stopped for a gang of three", stopping())
+	}
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	if stopping() != 3 {
+		t.Fatalf("%d after another plan", stopping())
+	}
+}
+
+// All machines for a gang that wants one zone are rented in one zone, and in
+// the next one when that has refused.
+func TestRentsForOneZone(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 6, CPUs: 16, Types: []string{"big"}, Kind: wire.KindGang, OneZone: true})
+	zone := func() string {
+		d := s.pl.Plan(s.l, s.now, s.now, nil)
+		if len(d.Rent) != 1 || d.Rent[0].Count != 6 {
+			t.Fatalf("rents %v", d.Rent)
+		}
+		return d.Rent[0].Pool.Zone
+	}
+	first := zone()
+	s.pl.Refused(Pool{"big", first, false}, s.now)
+	if second := zone(); second == first {
+		t.Fatal("the zone that refused is asked again")
+	}
+}
+
 // Where a replica is to go boots while its silent machine is not proven gone;
 // nothing of it is started before.
 func TestRentAheadForSilentMachines(t *testing.T) {
