One answer at a time on a connection

Cause (a test that failed once in three): evio replaces output that it has not written when a wake brings more, so a client that pipelines could lose an answer and take the next one for it. Clients do not pipeline by the protocol; one that does gets one answer and a close.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -246,7 +246,12 @@
 	return out, evio.None
 }
 
+// write appends an answer. evio replaces what it has not written yet when a
+// later wake has more to write, and an answer would be lost. Without pipelining,
+// as the protocol has it, that cannot happen: the next request comes after this
+// answer. A client that pipelines all the same gets one answer and a close.
 func (s *Server) write(out []byte, k *conn, a *answer) []byte {
+	k.last = k.last || k.parser.Held() > 0
 	if a.until != 0 && clock.Now() >= a.until {
 		a = &answer{status: 503, retry: 1, body: errorBody("no longer entitled to answer")}
 	}
