--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -94,18 +94,13 @@
 	// Until, if not nil, tells the last instant at which the request may be
 	// sent; it is asked right before the write.
 	Until func() clock.Micros
-	// Fresh asks for a new connection.
-	Fresh bool
 }
 
 // Do sends the request and waits for its answer. An error that is not a
 // *SendError or ErrLate leaves open whether the request was carried out.
 func (h *Host) Do(r Request) (*http1.Message, error) {
 	deadline := time.Now().Add(r.Timeout.Duration())
-	var c *conn
-	if !r.Fresh {
-		c = h.take(clock.Now())
-	}
+	c := h.take(clock.Now())
 	if c == nil {
 		nc, err := net.DialTimeout("tcp4", h.addr, r.Timeout.Duration())
 		if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -65,7 +65,7 @@
 	c := &Core{
 		cfg: cfg, tuning: tuning, log: log, q: newQueue(),
 		store: state.New(cfg.Outside.State, state.Limits{
-			RPS: d.State.RPS, WriteRPS: d.State.WriteRPS, TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
+			RPS: d.State.RPS, WriteRPS: d.State.WriteRPS, TxnOps: d.State.TxnOps,
 		}, keyLock),
 		cloud:      cloud.New(cfg.Outside.Cloud, d.Cloud.RPS),
 		teams:      map[string]ledger.Team{},
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -43,6 +43,7 @@
 	drainedAt  clock.Micros
 	dirty      bool
 	planAt     clock.Micros
+	planGap    clock.Micros
 	slowAt     clock.Micros
 	listAt     clock.Micros
 	fleetAt    clock.Micros
@@ -112,6 +113,9 @@
 			l.pl.Waits[o.Class] = o.WithinS
 		}
 	}
+	// A plan takes a millisecond or so at the most: this much time between two
+	// leaves the rest of the processor's share to reports and users.
+	l.planGap = min(max(clock.FromSeconds(0.006/d.Limits.Cores), 10*clock.Millisecond), 100*clock.Millisecond)
 	l.listAt = now + 2*clock.Second
 	l.renew()
 
@@ -308,7 +312,7 @@
 	}
 	if l.dirty && now >= l.planAt {
 		l.dirty = false
-		l.planAt = now + 20*clock.Millisecond
+		l.planAt = now + l.planGap
 		l.plan(now)
 		l.durable(now)
 	}
@@ -321,7 +325,7 @@
 	for _, h := range l.hires {
 		if !h.resolved {
 			pending = append(pending, planner.Hire{
-				Pool: planner.Pool{Type: h.rec.Type, Zone: h.rec.Zone, Spot: h.rec.Spot}, Count: h.rec.Count, At: h.at,
+				Pool: planner.Pool{Type: h.rec.Type, Zone: h.rec.Zone, Spot: h.rec.Spot}, Count: h.rec.Count,
 			})
 		}
 	}
--- a/internal/peer/fb/Beat.go
+++ b/internal/peer/fb/Beat.go
@@ -85,20 +85,8 @@
 	return rcv._tab.MutateUint32Slot(12, n)
 }
 
-func (rcv *Beat) Leaving() bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
-	if o != 0 {
-		return rcv._tab.GetBool(o + rcv._tab.Pos)
-	}
-	return false
-}
-
-func (rcv *Beat) MutateLeaving(n bool) bool {
-	return rcv._tab.MutateBoolSlot(14, n)
-}
-
 func (rcv *Beat) Counts(obj *Count, j int) bool {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
 	if o != 0 {
 		x := rcv._tab.Vector(o)
 		x += flatbuffers.UOffsetT(j) * 4
@@ -110,7 +98,7 @@
 }
 
 func (rcv *Beat) CountsLength() int {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
 	if o != 0 {
 		return rcv._tab.VectorLen(o)
 	}
@@ -118,7 +106,7 @@
 }
 
 func BeatStart(builder *flatbuffers.Builder) {
-	builder.StartObject(7)
+	builder.StartObject(6)
 }
 func BeatAddMember(builder *flatbuffers.Builder, member flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(member), 0)
@@ -135,11 +123,8 @@
 func BeatAddWorkers(builder *flatbuffers.Builder, workers uint32) {
 	builder.PrependUint32Slot(4, workers, 0)
 }
-func BeatAddLeaving(builder *flatbuffers.Builder, leaving bool) {
-	builder.PrependBoolSlot(5, leaving, false)
-}
 func BeatAddCounts(builder *flatbuffers.Builder, counts flatbuffers.UOffsetT) {
-	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(counts), 0)
+	builder.PrependUOffsetTSlot(5, flatbuffers.UOffsetT(counts), 0)
 }
 func BeatStartCountsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -38,7 +38,6 @@
 	Leader  string
 	Token   uint64
 	Workers uint32
-	Leaving bool
 	Counts  []Count
 }
 
@@ -70,7 +69,6 @@
 	fb.BeatAddLeader(fbb, leader)
 	fb.BeatAddToken(fbb, b.Token)
 	fb.BeatAddWorkers(fbb, b.Workers)
-	fb.BeatAddLeaving(fbb, b.Leaving)
 	fb.BeatAddCounts(fbb, vec)
 	fbb.FinishSizePrefixed(fb.BeatEnd(fbb))
 	return fbb.FinishedBytes()
@@ -93,7 +91,7 @@
 	r := fb.GetRootAsBeat(p, 0)
 	b = &Beat{
 		Member: string(r.Member()), Served: r.Served(), Leader: string(r.Leader()),
-		Token: r.Token(), Workers: r.Workers(), Leaving: r.Leaving(),
+		Token: r.Token(), Workers: r.Workers(),
 	}
 	n := r.CountsLength()
 	if n > maxCounts || b.Member == "" {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -16,7 +16,7 @@
 		b := Beat{
 			Member: rapid.StringMatching(`[a-z]{1,9}`).Draw(t, "member"), Served: rapid.Bool().Draw(t, "served"),
 			Leader: rapid.StringMatching(`[a-z]{0,9}`).Draw(t, "leader"), Token: rapid.Uint64().Draw(t, "token"),
-			Workers: rapid.Uint32().Draw(t, "workers"), Leaving: rapid.Bool().Draw(t, "leaving"),
+			Workers: rapid.Uint32().Draw(t, "workers"),
 		}
 		for i := rapid.IntRange(0, 5).Draw(t, "counts"); i > 0; i-- {
 			b.Counts = append(b.Counts, Count{Job: rapid.String().Draw(t, "job"), Done: rapid.Uint32().Draw(t, "done"), Running: rapid.Uint32().Draw(t, "running")})
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -29,7 +29,6 @@
 type Hire struct {
 	Pool  Pool
 	Count int
-	At    clock.Micros
 }
 
 // Rent is a decision to rent.
@@ -47,8 +46,6 @@
 	Drain *ledger.Machine
 	// Spot and Ordinary tell how the spare targets came about.
 	Spot, Ordinary SpareReport
-	// Next is when to plan again at the latest, 0 if nothing is pending.
-	Unplaced int
 }
 
 // SpareReport is the record of one choice of a spare target.
@@ -401,7 +398,6 @@
 			d.Mark = append(d.Mark, e.job)
 		}
 		e.left = min(e.left, e.limit) - placed
-		d.Unplaced += max(e.left, 0)
 	}
 	r.preempt(q, owed)
 	r.rent(q, hires, &d)
@@ -1046,6 +1042,7 @@
 	in := SpareInput{Unit: dm.unit, Lambda: dm.Rate(), Needs: dm.needs, Horizon: min(p.Horizon, p.IdleWait).Seconds()}
 	var spare, beside float64 // free room in machines: in all, and on used ones
 	nearest := math.Inf(1)
+	active := 0
 	typ := ""
 	for _, m := range r.machines {
 		if m.Spot != spot || m.Draining || m.TakenAt != 0 {
@@ -1062,7 +1059,14 @@
 		case m.UpAt == 0:
 			in.Booting = append(in.Booting, max((r.pl.BootTime(m.Type, 50)-(r.now-m.Since)).Seconds(), 0))
 		}
-		m.Places(func(pc *ledger.Placement) { nearest = min(nearest, r.pl.remaining(pc, r.now)) })
+		m.Places(func(pc *ledger.Placement) {
+			if left := r.pl.remaining(pc, r.now); left > 0 {
+				nearest = min(nearest, left)
+			}
+			if !pc.Job.Service() {
+				active++
+			}
+		})
 	}
 	pool, ok := r.sparePool(spot, d)
 	if typ == "" {
@@ -1077,8 +1081,11 @@
 		}
 	}
 	in.Ready = int(spare / dm.unit)
-	if nearest > 0 && !math.IsInf(nearest, 1) {
+	switch {
+	case nearest > 0 && !math.IsInf(nearest, 1):
 		in.LambdaC = 1 / nearest
+	case dm.run > 0:
+		in.LambdaC = float64(active) / dm.run // (22), second branch
 	}
 	if !r.pl.pressing(dm, r.pl.BootTime(typ, 50)) {
 		return rep, 0
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -22,7 +22,6 @@
 type Limits struct {
 	RPS, WriteRPS float64
 	TxnOps        int
-	ValueBytes    int
 }
 
 // maxTxn leaves room for the frame of a transaction under 64 KiB.
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -17,7 +17,7 @@
 	t.Helper()
 	s, stop := standin.NewState()
 	t.Cleanup(stop)
-	c := New(s.Addr, Limits{RPS: 1000, WriteRPS: 1000, TxnOps: 4, ValueBytes: 8192}, "lead")
+	c := New(s.Addr, Limits{RPS: 1000, WriteRPS: 1000, TxnOps: 4}, "lead")
 	c.SetShare(1)
 	return c, s
 }
@@ -80,11 +80,17 @@
 
 func TestWatchAndLeases(t *testing.T) {
 	c, s := open(t)
+	if _, err := c.Get("a/lock"); !errors.Is(err, ErrGone) {
+		t.Fatalf("a key that nobody wrote: %v", err)
+	}
 	lease, err := c.Grant(5 * clock.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
 	o := commit(t, c, &Write{Then: []wire.Change{{Put: "a/lock", Value: []byte("{}"), Lease: lease}}})
+	if it, err := c.Get("a/lock"); err != nil || it.Lease != lease || it.Version != o[0].rev {
+		t.Fatalf("%+v %v", it, err)
+	}
 	got := make(chan *wire.Events, 1)
 	go func() {
 		e, err := c.Watch("a/", o[0].rev, 20*clock.Second)
