A direct message's answer proves nothing of a start in a report's answer

By reading, then by the histories once they hold answers back: a start in the answer to a worker's report can be on its way for 4 s. The report in the answer to a direct message is newer and lacks the task; it was taken for proof that the start was lost, and once stopped the task could start elsewhere: a task running twice, or a limit overrun. Now only the worker's own next report counts.

--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -1050,7 +1050,7 @@
 		// The way to this worker is bad; its reports' answers will do.
 		a.notUntil = now + 2*clock.Second
 	}
-	if rep != nil && l.lg.Report(m, rep, now) == ledger.Deposed {
+	if rep != nil && l.lg.DirectReport(m, rep, now) == ledger.Deposed {
 		l.c.fenced(l.token)
 		return
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,7 +9,8 @@
 //     or the cloud has answered the machine's deletion; or the machine's lease
 //     has provably run out.
 //  2. A start in a report's answer is dead once the worker sends another
-//     report. A start sent straight to the worker, whose answer is missing,
+//     report; what it answers to a direct message meanwhile proves nothing of
+//     it. A start sent straight to the worker, whose answer is missing,
 //     stays possible until the session grows, the machine is gone, or the
 //     worker has seen a higher token. An attempt is never forgotten while such
 //     a start may be on its way: it would run again.
@@ -689,8 +690,19 @@
 // that came at `now`. It has to be called before any report is answered.
 func (l *Ledger) HeardBy(m *Machine, now clock.Micros) { m.granted = max(m.granted, now) }
 
-// Report takes a worker's report, from either direction.
+// Report takes a report that the worker sent. Sending it ends the wait for the
+// answer to its last one.
 func (l *Ledger) Report(m *Machine, r *wire.Report, now clock.Micros) ReportResult {
+	return l.report(m, r, now, true)
+}
+
+// DirectReport takes the report in the answer to a direct message. The answer
+// to the worker's last own report may still be on its way then.
+func (l *Ledger) DirectReport(m *Machine, r *wire.Report, now clock.Micros) ReportResult {
+	return l.report(m, r, now, false)
+}
+
+func (l *Ledger) report(m *Machine, r *wire.Report, now clock.Micros, own bool) ReportResult {
 	if r.Token > l.cfg.Token {
 		return Deposed
 	}
@@ -722,7 +734,7 @@
 	m.Synced = true
 	for id, p := range m.places {
 		if !seen[id] {
-			l.missing(p, now)
+			l.missing(p, now, own)
 		}
 	}
 	l.account(m)
@@ -831,7 +843,7 @@
 }
 
 // missing: a report under our token lacks a task that we sent.
-func (l *Ledger) missing(p *Placement, now clock.Micros) {
+func (l *Ledger) missing(p *Placement, now clock.Micros, own bool) {
 	switch p.Phase {
 	case Present:
 		l.end(p, WhyVanished, now)
@@ -839,7 +851,7 @@
 		if p.directOut > 0 || p.late {
 			return // invariant 2
 		}
-		if p.sentSeq < p.Machine.Seq {
+		if own && p.sentSeq < p.Machine.Seq {
 			// The answer that carried it was lost, or dropped as too late.
 			if p.stop {
 				l.end(p, wire.WhyStopped, now)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -32,8 +32,10 @@
 	tasks       map[string]*fakeTask
 	gone        bool
 	hung        bool
-	lastOrders  *wire.Reply
-	lastSession uint64
+	answer      []wire.Command // on its way to the worker
+	answerToken uint64
+	answerAt    clock.Micros // when its report was sent
+	hasAnswer   bool
 }
 
 type heldDirect struct {
@@ -228,7 +230,7 @@
 	}
 	w.lg.DirectEnded(h.m, h.starts, res)
 	if w.lg.Machines[k.name] == h.m {
-		w.lg.Report(h.m, rep, w.now)
+		w.lg.DirectReport(h.m, rep, w.now)
 	}
 }
 
@@ -239,6 +241,7 @@
 		return
 	}
 	w.expire(k)
+	k.hasAnswer = false // a new report: the answer to the last one is dead
 	rep := w.report(k)
 	m := w.machine(k)
 	if fate == 0 || m == nil {
@@ -253,9 +256,24 @@
 	if fate == 1 {
 		return
 	}
-	k.token = w.token
-	k.leaseFrom = w.now
-	w.exec(k, cmds)
+	k.answer, k.answerToken, k.answerAt, k.hasAnswer = cmds, w.token, w.now, true
+	if fate > 3 {
+		w.answered(k)
+	}
+}
+
+// answered delivers the answer to a worker's last report, unless it is too late.
+func (w *world) answered(k *fakeWorker) {
+	session := k.session
+	w.expire(k)
+	if !k.hasAnswer || k.gone || k.hung || k.session != session || w.now-k.answerAt > 4*clock.Second || k.answerToken < k.token {
+		k.hasAnswer = false
+		return
+	}
+	k.hasAnswer = false
+	k.token = k.answerToken
+	k.leaseFrom = k.answerAt
+	w.exec(k, k.answer)
 }
 
 func (w *world) takeOver() {
@@ -306,7 +324,7 @@
 
 func TestHistories(t *testing.T) {
 	total := 0
-	for seed := uint64(1); seed <= 1500; seed++ {
+	for seed := uint64(1); seed <= 4000; seed++ {
 		w := &world{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: clock.Second, specs: map[string]*wire.Job{}, marked: map[string]bool{},
 			done: map[string]map[int]bool{}, over: map[string]bool{}, limit: 5000}
 		for i := 0; i < 3; i++ {
@@ -333,6 +351,7 @@
 		}
 		actions := map[string]func(){
 			"report":  exchange,
+			"answer":  func() { w.answered(worker()) },
 			"report2": exchange,
 			"report3": exchange,
 			"place":   place,
@@ -502,6 +521,28 @@
 	}
 }
 
+// A start in a report's answer may still be on its way when the worker answers a
+// direct message. That answer lacks the task and proves nothing; only the
+// worker's next report does.
+func TestDirectAnswerProvesNothingOfAReportsAnswer(t *testing.T) {
+	l, j, m := small(t, wire.KindArray, 1)
+	if err := l.Place(j, 0, m, l.Attempt(), 2); err != nil {
+		t.Fatal(err)
+	}
+	if c := l.Orders(m, 2); len(c) != 1 {
+		t.Fatalf("orders %v", c)
+	}
+	l.DirectReport(m, reportOf(m, 1, 2, 7), 3)
+	l.Stop(j.Tasks[0].Place, 0)
+	if l.Gone(j) || j.WaitingCount() != 0 {
+		t.Fatal("a task whose start is on its way is free to start elsewhere")
+	}
+	l.Report(m, reportOf(m, 1, 3, 7), 4)
+	if !l.Gone(j) {
+		t.Fatal("the next report is proof")
+	}
+}
+
 // A withdrawn job's start that may still arrive is met by a start and a stop
 // in one message, so that the late one finds its attempt listed as exited.
 func TestFenceOfAWithdrawnStart(t *testing.T) {
