--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -518,8 +518,16 @@
 	}
 }
 
-// ServeHTTP takes commands sent straight to the worker.
+// ServeHTTP takes commands sent straight to the worker, and tells its state.
 func (k *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == "GET" && r.URL.Path == "/status" {
+		k.cloud.mu.Lock()
+		defer k.cloud.mu.Unlock()
+		k.step()
+		k.report.Seq++
+		reply(w, 200, k.report)
+		return
+	}
 	var d wire.Direct
 	if !read(r, &d) {
 		reply(w, 400, struct{}{})
