--- a/cmd/firwood/main.go
+++ b/cmd/firwood/main.go
@@ -135,7 +135,7 @@
 	log = log.With("member", p.Member)
 	c := core.New(p, t, log)
 	srv := server.New(server.Config{
-		Serve: p.Serve, Peer: p.PeerBind, MaxConns: inbound(limits.MaxSockets),
+		Serve: p.Serve, Peer: p.PeerBind, MaxConns: p.Sockets().Inbound,
 		Idle: 90 * clock.Second, Half: 10 * clock.Second,
 	}, c, log)
 	log.Info("serving", "version", version, "address", p.Serve)
@@ -154,10 +154,6 @@
 	}
 }
 
-// inbound is the part of the socket limit that incoming connections may take;
-// the rest is kept for the outside services, peers and workers.
-func inbound(limit int) int { return max(limit*3/4-16, limit/2) }
-
 // call makes one request of a controller.
 func call(node, method, target string, body []byte) (*http1.Message, error) {
 	if _, err := netip.ParseAddrPort(node); err != nil {
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -4,8 +4,10 @@
 package client
 
 import (
+	"container/list"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 	addr   string
 	limits http1.Limits
 
+	pool *Pool // nil: unbounded
+
 	mu   sync.Mutex
 	idle []*conn
 	most int
@@ -37,6 +41,79 @@
 	c      net.Conn
 	parser *http1.Parser
 	used   clock.Micros
+	host   *Host
+	place  *list.Element // in the pool's list of idle ones
+}
+
+// ErrBusy tells that every connection of the pool is in use.
+var ErrBusy = errors.New("client: no connection is free")
+
+// Pool bounds the connections to many hosts together. When all are taken, the
+// one that has lain idle longest makes room.
+type Pool struct {
+	most int
+
+	mu   sync.Mutex
+	open int
+	idle *list.List // of *conn, the longest idle first
+}
+
+// NewPool makes a pool of at most so many connections.
+func NewPool(most int) *Pool { return &Pool{most: most, idle: list.New()} }
+
+// Open is how many connections there are.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// reserve books a connection, at the cost of an idle one if need be.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	if p.open < p.most {
+		p.open++
+		p.mu.Unlock()
+		return true
+	}
+	e := p.idle.Front()
+	if e == nil {
+		p.mu.Unlock()
+		return false
+	}
+	c := p.idle.Remove(e).(*conn)
+	c.place = nil
+	p.mu.Unlock()
+	// The list has given it to us alone, unless its host takes it just now:
+	// then that host finds it missing from the list and leaves it.
+	c.c.Close()
+	c.host.forget(c)
+	return true // its booking passes on
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// claim takes an idle connection for use; false means that it made room for
+// another meanwhile.
+func (p *Pool) claim(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.place == nil {
+		return false
+	}
+	p.idle.Remove(c.place)
+	c.place = nil
+	return true
+}
+
+func (p *Pool) rest(c *conn) {
+	p.mu.Lock()
+	c.place = p.idle.PushBack(c)
+	p.mu.Unlock()
 }
 
 // idleFor bounds how long a connection may lie unused: after a cut an old one
@@ -50,6 +127,33 @@
 	return &Host{addr: addr, limits: l, most: most}
 }
 
+// Host makes a place to call whose connections count towards the pool.
+func (p *Pool) Host(addr string, most, maxBody int) *Host {
+	h := NewHost(addr, most, maxBody)
+	h.pool = p
+	return h
+}
+
+// forget drops a connection that the pool has closed.
+func (h *Host) forget(c *conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if i := slices.Index(h.idle, c); i >= 0 {
+		h.idle = slices.Delete(h.idle, i, i+1)
+	}
+}
+
+// end closes a connection that is in use.
+func (h *Host) end(c *conn) {
+	c.c.Close()
+	if h.pool != nil {
+		h.pool.release()
+	}
+}
+
+// claimed tells whether an idle connection is this host's to use.
+func (h *Host) claimed(c *conn) bool { return h.pool == nil || h.pool.claim(c) }
+
 // Close drops the idle connections.
 func (h *Host) Close() {
 	h.mu.Lock()
@@ -57,7 +161,9 @@
 	h.idle = nil
 	h.mu.Unlock()
 	for _, c := range idle {
-		c.c.Close()
+		if h.claimed(c) {
+			h.end(c)
+		}
 	}
 }
 
@@ -67,10 +173,13 @@
 	for len(h.idle) > 0 {
 		c := h.idle[len(h.idle)-1]
 		h.idle = h.idle[:len(h.idle)-1]
+		if !h.claimed(c) {
+			continue
+		}
 		if now-c.used < idleFor {
 			return c
 		}
-		c.c.Close()
+		h.end(c)
 	}
 	return nil
 }
@@ -79,11 +188,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.idle) >= h.most {
-		c.c.Close()
+		h.end(c)
 		return
 	}
 	c.used = clock.Now()
 	h.idle = append(h.idle, c)
+	if h.pool != nil {
+		h.pool.rest(c)
+	}
 }
 
 // Request is one call.
@@ -102,15 +214,21 @@
 	deadline := time.Now().Add(r.Timeout.Duration())
 	c := h.take(clock.Now())
 	if c == nil {
+		if h.pool != nil && !h.pool.reserve() {
+			return nil, &SendError{ErrBusy}
+		}
 		nc, err := net.DialTimeout("tcp4", h.addr, r.Timeout.Duration())
 		if err != nil {
+			if h.pool != nil {
+				h.pool.release()
+			}
 			return nil, &SendError{err}
 		}
-		c = &conn{c: nc, parser: http1.NewResponseParser(h.limits)}
+		c = &conn{c: nc, parser: http1.NewResponseParser(h.limits), host: h}
 	}
 	m, err := c.roundTrip(h.addr, r, deadline)
 	if err != nil || m.Close {
-		c.c.Close()
+		h.end(c)
 		return m, err
 	}
 	h.give(c)
@@ -204,6 +322,14 @@
 	}
 }
 
+// Has tells whether n may be used now.
+func (b *Budget) Has(n float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(clock.Now())
+	return b.have >= min(n, b.most)
+}
+
 // Drain empties the bucket: the service has said that it is being asked too
 // often, so what this side believed it had was wrong.
 func (b *Budget) Drain() {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"firwood.dev/firwood/internal/client"
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/cloud"
 	"firwood.dev/firwood/internal/config"
@@ -30,7 +31,10 @@
 	store  *state.Client
 	cloud  *cloud.Client
 	links  []*peer.Link
-	teams  map[string]ledger.Team
+	// Direct messages share a bounded part of the sockets.
+	toWorkers *client.Pool
+	directs   int // how many may be under way at a time
+	teams     map[string]ledger.Team
 
 	view  view
 	el    *election.Machine
@@ -68,6 +72,8 @@
 			RPS: d.State.RPS, WriteRPS: d.State.WriteRPS, TxnOps: d.State.TxnOps,
 		}, keyLock),
 		cloud:      cloud.New(cfg.Outside.Cloud, d.Cloud.RPS),
+		toWorkers:  client.NewPool(cfg.Sockets().Workers),
+		directs:    max(cfg.Sockets().Workers/4, 4),
 		teams:      map[string]ledger.Team{},
 		el:         election.New(election.Config{Member: cfg.Member, TTL: ttl, Slack: 50 * clock.Millisecond}),
 		beats:      map[string]*beatSeen{},
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -51,6 +52,8 @@
 	deletes    []string
 	deleteBusy bool
 	deleteAt   clock.Micros
+	saving     int // progress writes under way
+	directing  int // direct messages under way
 }
 
 // hire is a rental from its record on, until the last machine of it is gone.
@@ -113,9 +116,7 @@
 			l.pl.Waits[o.Class] = o.WithinS
 		}
 	}
-	// A plan takes a millisecond or so at the most: this much time between two
-	// leaves the rest of the processor's share to reports and users.
-	l.planGap = min(max(clock.FromSeconds(0.006/d.Limits.Cores), 10*clock.Millisecond), 100*clock.Millisecond)
+	l.planGap = leastPlanGap
 	l.listAt = now + 2*clock.Second
 	l.renew()
 
@@ -312,14 +313,26 @@
 	}
 	if l.dirty && now >= l.planAt {
 		l.dirty = false
-		l.planAt = now + l.planGap
 		l.plan(now)
 		l.durable(now)
+		// A plan costs what waits and what has room for it. The time that it
+		// took says how soon the next may come and leave the processor's share
+		// to reports and users.
+		took := clock.Now() - now
+		l.planGap = min(max(planPart*took, leastPlanGap), mostPlanGap)
+		l.planAt = now + took + l.planGap
 	}
 	l.direct(now)
 	l.sendDeletes(now)
 }
 
+// Between two plans lies planPart times what the last one took, within bounds.
+const (
+	planPart     = 4
+	leastPlanGap = 20 * clock.Millisecond
+	mostPlanGap  = 500 * clock.Millisecond
+)
+
 func (l *lead) plan(now clock.Micros) {
 	var pending []planner.Hire
 	for _, h := range l.hires {
@@ -337,7 +350,7 @@
 	for _, r := range d.Rent {
 		// Few at a time: the cloud takes few requests a second, and what is
 		// asked for next should rest on how these were answered.
-		if len(pending) >= hiresAtOnce {
+		if len(pending) >= l.hiresAtOnce() {
 			break
 		}
 		pending = append(pending, planner.Hire{})
@@ -365,8 +378,12 @@
 // drainEvery bounds how often replicas are moved together.
 const drainEvery = 10 * clock.Second
 
-// hiresAtOnce bounds the rentals under way.
-const hiresAtOnce = 4
+// hiresAtOnce bounds the rentals under way: what the cloud answers in a second
+// or so, and the two records of each within the rate of writes.
+func (l *lead) hiresAtOnce() int {
+	d := &l.c.cfg.Deployment
+	return max(int(min(2*d.Cloud.RPS, d.State.WriteRPS/4)), 2)
+}
 
 // mark makes it durable that tasks of the job may be started from now on: a
 // later leader then knows for which jobs it has to look, and that no other
@@ -378,7 +395,7 @@
 		return
 	}
 	a.marking = true
-	l.write(&state.Write{Then: []wire.Change{progress(id, 0, nil)}}, func(o state.Outcome) {
+	l.write(&state.Write{Rank: state.Needed, Then: []wire.Change{progress(id, 0, nil)}}, func(o state.Outcome) {
 		a.marking = false
 		if o == state.Committed {
 			j.Marked = true
@@ -424,7 +441,7 @@
 	if err != nil || len(v) > int(l.c.cfg.Deployment.State.ValueKB*1024) {
 		return
 	}
-	l.write(&state.Write{Then: []wire.Change{{Put: keyTypes, Value: v}}}, func(state.Outcome) {})
+	l.write(&state.Write{Rank: state.Needed, Then: []wire.Change{{Put: keyTypes, Value: v}}}, func(state.Outcome) {})
 }
 
 // progressEvery bounds how often a job's progress is written.
@@ -432,7 +449,11 @@
 
 // durable writes what was completed, and the end of jobs that are complete.
 func (l *lead) durable(now clock.Micros) {
+	var late []string
 	for id, j := range l.lg.Jobs {
+		if !j.Withdrawn && !j.Unsaved() {
+			continue
+		}
 		a := l.jobs[id]
 		if a == nil || a.writing {
 			continue
@@ -450,20 +471,36 @@
 				delete(l.jobs, id)
 			}
 		default:
-			if todo := j.NotDurable(); len(todo) > 0 && now-a.wroteAt >= progressEvery {
-				l.saveProgress(id, j, a, todo, now)
+			if now-a.wroteAt >= progressEvery {
+				late = append(late, id)
 			}
 		}
 	}
+	// Progress takes what the rate of writes has to spare, what was written
+	// longest ago first.
+	if l.saving >= savesAtOnce || len(late) == 0 {
+		return
+	}
+	slices.SortFunc(late, func(a, b string) int {
+		return cmp.Or(cmp.Compare(l.jobs[a].wroteAt, l.jobs[b].wroteAt), cmp.Compare(a, b))
+	})
+	for _, id := range late[:min(len(late), savesAtOnce-l.saving)] {
+		j := l.lg.Jobs[id]
+		l.saveProgress(id, j, l.jobs[id], j.NotDurable(), now)
+	}
 }
 
+// savesAtOnce bounds the writes of progress that wait.
+const savesAtOnce = 1000
+
 func (l *lead) saveProgress(id string, j *ledger.Job, a *jobAux, todo []int, now clock.Micros) {
 	a.writing, a.wroteAt = true, now
 	chunks := map[int]bool{}
 	for _, i := range todo {
 		chunks[i/chunkTasks] = true
 	}
-	w := &state.Write{}
+	l.saving++
+	w := &state.Write{Rank: state.Spare}
 	for ch := range chunks {
 		var bits bitmap
 		for i := ch * chunkTasks; i < min(len(j.Tasks), (ch+1)*chunkTasks); i++ {
@@ -476,6 +513,7 @@
 	}
 	l.write(w, func(o state.Outcome) {
 		a.writing = false
+		l.saving--
 		if o == state.Committed {
 			l.lg.MadeDurable(j, todo)
 		}
@@ -497,6 +535,7 @@
 	}
 	a.writing = true
 	w := &state.Write{
+		Rank: state.Needed,
 		If:   []wire.Condition{{Key: prefixJob + id, Version: rec.version}},
 		Then: []wire.Change{{Put: prefixJob + id, Value: v}},
 	}
@@ -546,7 +585,7 @@
 		return
 	}
 	a.writing = true
-	w := &state.Write{Then: []wire.Change{{Put: prefixJob + id, Value: v}}}
+	w := &state.Write{Rank: state.Spare, Then: []wire.Change{{Put: prefixJob + id, Value: v}}}
 	for ch := 0; ch < a.chunks; ch++ {
 		w.Then = append(w.Then, wire.Change{Delete: doneKey(id, ch)})
 	}
@@ -607,7 +646,7 @@
 		c.Value = v
 	}
 	dropped := c.Delete != ""
-	l.write(&state.Write{Then: []wire.Change{c}}, func(o state.Outcome) {
+	l.write(&state.Write{Rank: state.Needed, Then: []wire.Change{c}}, func(o state.Outcome) {
 		h.writing = false
 		switch {
 		case o != state.Committed:
@@ -993,24 +1032,29 @@
 // direct sends starts and stops straight to the workers: a report's answer
 // would wait for the next report.
 func (l *lead) direct(now clock.Micros) {
-	for name, m := range l.lg.Machines {
+	l.lg.Outbox(func(m *ledger.Machine) bool {
+		name := m.Name
 		a := l.machines[name]
-		if a == nil || a.deleting || now < a.notUntil || now-m.Heard > l.silentAfter() {
-			continue
+		if a == nil || a.deleting {
+			return false
+		}
+		if now < a.notUntil || now-m.Heard > l.silentAfter() || l.directing >= l.c.directs {
+			return true
 		}
 		msg, starts := l.lg.Direct(m, now)
 		if msg == nil {
-			continue
+			return false
 		}
 		body, err := msg.MarshalJSON()
 		if err != nil {
 			l.lg.DirectEnded(m, starts, ledger.NotSent)
-			continue
+			return false
 		}
 		if a.host == nil {
-			a.host = client.NewHost(m.Addr, 1, 4*wire.MaxBody)
+			a.host = l.c.toWorkers.Host(m.Addr, 1, 4*wire.MaxBody)
 		}
 		host := a.host
+		l.directing++
 		go func() {
 			res, err := host.Do(client.Request{Method: "POST", Target: "/commands", Body: body, Timeout: directTimeout, Until: l.until})
 			result := ledger.Lost
@@ -1033,11 +1077,13 @@
 			}
 			l.c.post(func() {
 				if !l.closed {
+					l.directing--
 					l.directEnded(m, a, starts, result, rep)
 				}
 			})
 		}()
-	}
+		return false
+	})
 }
 
 func (l *lead) directEnded(m *ledger.Machine, a *machineAux, starts []*ledger.Placement, result ledger.DirectResult, rep *wire.Report) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -25,6 +25,7 @@
 package ledger
 
 import (
+	"cmp"
 	"errors"
 	"math"
 	"slices"
@@ -112,6 +113,8 @@
 	Marked bool
 	Tasks  []Task
 
+	gang    bool
+	service bool
 	doubts  int
 	done    int
 	durable int
@@ -130,10 +133,10 @@
 }
 
 // Gang tells whether the job's tasks run together.
-func (j *Job) Gang() bool { return j.Spec.Kind == wire.KindGang }
+func (j *Job) Gang() bool { return j.gang }
 
 // Service tells whether the job runs until it is withdrawn.
-func (j *Job) Service() bool { return j.Spec.Kind == wire.KindService }
+func (j *Job) Service() bool { return j.service }
 
 // DoneCount is the number of completed tasks.
 func (j *Job) DoneCount() int { return j.done }
@@ -200,6 +203,11 @@
 	stop      bool
 	grace     clock.Micros
 	stopSent  clock.Micros
+	seen      uint64 // the last report that listed it, by the ledger's count
+
+	// Forecast is when the planner expects it to end, worked out at ForecastAt;
+	// it is the planner's to use.
+	Forecast, ForecastAt clock.Micros
 }
 
 // Stopping tells whether the placement is to end.
@@ -245,12 +253,18 @@
 	// FaultyJobs counts the jobs that failed on it.
 	FaultyJobs map[string]bool
 
-	granted clock.Micros // its lease may be counted from here
-	used    Resources
-	places  map[string]*Placement
-	exits   []exit
-	lateIDs map[attemptKey]bool // attempts that a late direct start may bring back
-	directs bool                // a direct message is out
+	// Rank is its place in ByName, as of the last call of that.
+	Rank int
+
+	granted  clock.Micros // its lease may be counted from here
+	used     Resources
+	places   map[string]*Placement
+	replicas int
+	fetching map[string]int // placements that have not run yet, by image
+	outbox   bool           // listed in the ledger's outbox
+	exits    []exit
+	lateIDs  map[attemptKey]bool // attempts that a late direct start may bring back
+	directs  bool                // a direct message is out
 	// Reports of sessions before this one are void.
 	minSession uint64
 }
@@ -261,6 +275,15 @@
 // Free is what is left for new tasks.
 func (m *Machine) Free() Resources { return m.Cap.Sub(m.used) }
 
+// Replicas is how many tasks of services are, or may be, on it.
+func (m *Machine) Replicas() int { return m.replicas }
+
+// Fetching tells whether a task that has not run yet waits for the image.
+func (m *Machine) Fetching(image string) bool { return m.fetching[image] > 0 }
+
+// Tasks is how many placements are on it.
+func (m *Machine) Tasks() int { return len(m.places) }
+
 // Idle tells that nothing is, or may be, on it.
 func (m *Machine) Idle() bool { return len(m.places) == 0 }
 
@@ -308,6 +331,9 @@
 	counter  uint64
 	open     int // machines not accounted for
 	settled  bool
+	reports  uint64 // counts those taken, to mark what each listed
+	byName   []*Machine
+	outbox   []*Machine // machines that something may have to be sent to
 
 	// Ended collects how placements ended, until it is taken.
 	Ended []Ending
@@ -333,6 +359,44 @@
 // Accounted tells that nothing is in doubt any more.
 func (l *Ledger) Accounted() bool { return l.settled && l.open == 0 }
 
+// ByName lists the machines in the order of their names. It is made anew only
+// when machines came or went.
+func (l *Ledger) ByName() []*Machine {
+	if l.byName == nil {
+		l.byName = make([]*Machine, 0, len(l.Machines))
+		for _, m := range l.Machines {
+			l.byName = append(l.byName, m)
+		}
+		slices.SortFunc(l.byName, func(a, b *Machine) int { return cmp.Compare(a.Name, b.Name) })
+		for i, m := range l.byName {
+			m.Rank = i
+		}
+	}
+	return l.byName
+}
+
+// toSend notes that a direct message to the machine may be due. What is sent
+// then costs as much as changed, not as much as there are machines.
+func (l *Ledger) toSend(m *Machine) {
+	if !m.outbox {
+		m.outbox = true
+		l.outbox = append(l.outbox, m)
+	}
+}
+
+// Outbox calls f for each machine that a direct message may be due to. One for
+// which f returns true stays listed.
+func (l *Ledger) Outbox(f func(*Machine) bool) {
+	due := l.outbox
+	l.outbox = nil
+	for _, m := range due {
+		m.outbox = false
+		if l.Machines[m.Name] == m && f(m) {
+			l.toSend(m)
+		}
+	}
+}
+
 func (l *Ledger) teamUse(m map[string]*Resources, team string) *Resources {
 	r := m[team]
 	if r == nil {
@@ -354,6 +418,7 @@
 		Spec: spec, Need: FromAmounts(spec.CPUs, spec.GPUs, spec.MemoryGB),
 		Priority: wire.PriorityIndex(spec.Priority), Submitted: submitted, Seen: now, Marked: marked,
 		Tasks: make([]Task, spec.Tasks), byZone: map[string]int{},
+		gang: spec.Kind == wire.KindGang, service: spec.Kind == wire.KindService,
 	}
 	j.waiting = spec.Tasks
 	l.Jobs[spec.ID] = j
@@ -417,6 +482,7 @@
 		l.open++
 	}
 	l.Machines[name] = m
+	l.byName = nil
 	return m
 }
 
@@ -538,6 +604,11 @@
 	*u = u.Add(j.Need)
 	j.byZone[m.Zone]++
 	j.active++
+	if j.Service() {
+		m.replicas++
+	}
+	m.fetchFor(j.Spec.Image, 1)
+	l.toSend(m)
 	if !p.Stray {
 		t := &j.Tasks[p.Index]
 		t.Place = p
@@ -548,6 +619,15 @@
 	}
 }
 
+func (m *Machine) fetchFor(image string, n int) {
+	if m.fetching == nil {
+		m.fetching = map[string]int{}
+	}
+	if m.fetching[image] += n; m.fetching[image] <= 0 {
+		delete(m.fetching, image)
+	}
+}
+
 // end takes a placement off the books; the caller has the proof.
 func (l *Ledger) end(p *Placement, why string, now clock.Micros) {
 	j, m := p.Job, p.Machine
@@ -560,9 +640,14 @@
 	*u = u.Sub(j.Need)
 	j.byZone[m.Zone]--
 	j.active--
+	if j.Service() {
+		m.replicas--
+	}
 	if p.Started != 0 {
 		j.Running--
 		m.Images[j.Spec.Image] = now
+	} else {
+		m.fetchFor(j.Spec.Image, -1)
 	}
 	if len(m.places) == 0 {
 		m.IdleAt = now
@@ -636,6 +721,10 @@
 	}
 }
 
+// Unsaved tells whether some completion is not in the state service yet, or the
+// job is complete: then there is something to write, or to clean up.
+func (j *Job) Unsaved() bool { return j.durable != j.done || j.done == len(j.Tasks) }
+
 // NotDurable lists completions that the state service does not have yet.
 func (j *Job) NotDurable() []int {
 	if j.durable == j.done {
@@ -660,6 +749,7 @@
 		return
 	}
 	p.stop, p.grace, p.stopSent = true, grace, 0
+	l.toSend(p.Machine)
 }
 
 // StopJob stops all tasks of a gang together, or one task otherwise.
@@ -724,17 +814,25 @@
 	}
 	synced := r.Token == l.cfg.Token
 	m.exits = m.exits[:0]
-	seen := make(map[string]bool, len(r.Tasks))
+	l.reports++
+	listed := 0
 	for i := range r.Tasks {
-		l.reported(m, &r.Tasks[i], seen, now)
+		if l.reported(m, &r.Tasks[i], now) {
+			listed++
+		}
 	}
 	if !synced {
 		return Taken
 	}
-	m.Synced = true
-	for id, p := range m.places {
-		if !seen[id] {
-			l.missing(p, now, own)
+	if !m.Synced {
+		m.Synced = true
+		l.toSend(m)
+	}
+	if listed != len(m.places) {
+		for _, p := range m.places {
+			if p.seen != l.reports {
+				l.missing(p, now, own)
+			}
 		}
 	}
 	l.account(m)
@@ -755,23 +853,27 @@
 	clear(m.Images)
 }
 
-func (l *Ledger) reported(m *Machine, t *wire.TaskReport, seen map[string]bool, now clock.Micros) {
+// reported takes one line of a report; true means that it lists a placement
+// that no line before did.
+func (l *Ledger) reported(m *Machine, t *wire.TaskReport, now clock.Micros) bool {
+	p := m.places[t.Task]
+	if p != nil && p.Attempt == t.Attempt && p.Phase == Present && p.State == t.State && l.Jobs[p.Job.Spec.ID] == p.Job {
+		return l.mark(p) // nothing new, as in most lines of most reports
+	}
 	id, index, ok := wire.ParseTaskID(t.Task)
 	j := l.Jobs[id]
 	if !ok || j == nil || index >= len(j.Tasks) {
 		// No job that is not over: it can only be told to go.
 		m.exits = append(m.exits, exit{id: t.Task, attempt: t.Attempt, done: t.State != wire.TaskExited})
-		return
+		return false
 	}
-	p := m.places[t.Task]
 	if p != nil && p.Attempt != t.Attempt {
 		if t.State == wire.TaskExited {
 			m.exits = append(m.exits, exit{id: t.Task, attempt: t.Attempt, job: j, index: index})
-			return
+			return false
 		}
 		if p.Phase == Present {
-			seen[t.Task] = true
-			return // an older attempt beside a newer one; the worker has one only
+			return l.mark(p) // an older attempt beside a newer one; the worker has one only
 		}
 		// The worker has another attempt than the one on its way, which it will
 		// refuse: what is there counts.
@@ -785,20 +887,31 @@
 			l.complete(j, index)
 		}
 		m.exits = append(m.exits, exit{id: t.Task, attempt: t.Attempt, job: j, index: index, done: t.Why == wire.WhyDone})
-		return
+		return false
 	}
-	seen[t.Task] = true
 	if p == nil {
 		p = l.adopt(m, j, index, t, now)
 	}
+	if p.stop {
+		l.toSend(m)
+	}
 	p.Phase = Present
 	p.State = t.State
 	if p.Started == 0 && (t.State == wire.TaskRunning || t.State == wire.TaskWaiting) {
 		p.Started = now
 		j.Running++
+		m.fetchFor(j.Spec.Image, -1)
 		m.Images[j.Spec.Image] = now
 		l.Begun = append(l.Begun, p)
 	}
+	return l.mark(p)
+}
+
+// mark notes that the present report lists the placement.
+func (l *Ledger) mark(p *Placement) bool {
+	first := p.seen != l.reports
+	p.seen = l.reports
+	return first
 }
 
 // adopt books a task that a worker has and the ledger did not expect there:
@@ -857,6 +970,7 @@
 				l.end(p, wire.WhyStopped, now)
 			} else {
 				p.Phase = Assigned
+				l.toSend(p.Machine)
 			}
 		}
 	}
@@ -978,6 +1092,9 @@
 	var cmds []wire.Command
 	var starts []*Placement
 	for _, p := range m.places {
+		if p.Phase == Present && !p.stop {
+			continue
+		}
 		before := len(cmds)
 		cmds = l.order(cmds, p, now, true)
 		if len(cmds) > before && cmds[before].Op == wire.OpStart {
@@ -1009,6 +1126,7 @@
 // has to be given to Report afterwards.
 func (l *Ledger) DirectEnded(m *Machine, starts []*Placement, r DirectResult) {
 	m.directs = false
+	l.toSend(m)
 	for _, p := range starts {
 		if m.places[p.id] != p {
 			// Ended meanwhile, say by an exit that a report showed. The attempt
@@ -1071,4 +1189,5 @@
 	}
 	l.account(m)
 	delete(l.Machines, m.Name)
+	l.byName = nil
 }
--- /dev/null
+++ b/internal/planner/bench_test.go
@@ -0,0 +1,105 @@
+package planner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/ledger"
+	"firwood.dev/firwood/wire"
+)
+
+// fleet makes a ledger of n machines, most of them spot, that are filled to
+// the given part by running tasks of arrays and replicas, with so many more
+// arrays and services waiting.
+func fleet(n int, filled float64, waiting int) *scene {
+	s := newScene(map[string]ledger.Team{"a": {}, "b": {}})
+	s.pl.Fresh = 60 * clock.Second
+	rng := rand.New(rand.NewPCG(uint64(n), 8))
+	var ms []*ledger.Machine
+	for i := 0; i < n; i++ {
+		ms = append(ms, s.machine(fmt.Sprintf("i-%06d", i), "big", []string{"x", "y", "z"}[i%3], i%4 != 0))
+	}
+	id := 0
+	add := func(service bool, tasks int) *ledger.Job {
+		id++
+		w := wire.Job{ID: fmt.Sprintf("req-%06d", id), Class: "array", Team: "a", Tasks: tasks, CPUs: 4, MemoryGB: 9, Spot: true,
+			EstimateS: 20 + 60*rng.Float64(), Priority: wire.PriorityHigh, Image: fmt.Sprint("array-", id%4), ImageGB: 0.6}
+		if service {
+			w.Class, w.Team, w.CPUs, w.MemoryGB, w.Spot, w.EstimateS = "service", "b", 1, 2, false, 0
+			w.Kind, w.Priority, w.Spread, w.Image = wire.KindService, wire.PriorityProduction, true, fmt.Sprint("service-", id%16)
+		}
+		return s.job(w)
+	}
+	orders := map[*ledger.Machine]*wire.Report{}
+	for _, m := range ms {
+		s.seqs[m.Name]++
+		orders[m] = &wire.Report{Machine: m.Name, Session: 1, Seq: s.seqs[m.Name], Token: 1, Addr: "127.0.0.1:1"}
+	}
+	fill := func(spot bool, size int) {
+		var j *ledger.Job
+		next := 0
+		for _, m := range ms {
+			if m.Spot != spot {
+				continue
+			}
+			for float64(m.Used().CPU) < filled*float64(m.Cap.CPU) {
+				if j == nil || next == len(j.Tasks) {
+					j, next = add(!spot, size), 0
+					j.Spec.Spread = false
+				}
+				if !j.Need.Fits(m.Free()) {
+					break
+				}
+				if err := s.l.Place(j, next, m, s.l.Attempt(), s.now); err != nil {
+					panic(err)
+				}
+				p := j.Tasks[next].Place
+				orders[m].Tasks = append(orders[m].Tasks, wire.TaskReport{Task: wire.TaskID(j.Spec.ID, next), Attempt: p.Attempt, State: wire.TaskRunning})
+				next++
+			}
+		}
+	}
+	fill(true, 90)
+	fill(false, 8)
+	s.now += clock.Second
+	for _, m := range ms {
+		s.l.Direct(m, s.now)
+		s.l.Report(m, orders[m], s.now)
+	}
+	s.now += 10 * clock.Second
+	for i := 0; i < waiting; i++ {
+		add(i%3 == 0, []int{90, 8}[btoi(i%3 == 0)])
+	}
+	return s
+}
+
+const plansAtOnce = 10
+
+// The curve of a plan over the size of the fleet: with nothing to do, with a
+// queue before a full fleet, and with a queue as at the start of a day.
+func BenchmarkPlan(b *testing.B) {
+	for _, c := range []struct {
+		name    string
+		filled  float64
+		waiting int
+	}{{"quiet", 0.9, 0}, {"full", 1, 40}, {"start", 0, 300}} {
+		for _, n := range []int{50, 500, 1500, 5000} {
+			b.Run(fmt.Sprintf("%s/%d", c.name, n), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					b.StopTimer()
+					s := fleet(n, c.filled, c.waiting)
+					b.StartTimer()
+					// As a leader does it: again and again, with little changed.
+					for i := 0; i < plansAtOnce; i++ {
+						s.pl.Plan(s.l, s.now, s.now, nil)
+						s.now += clock.Second / plansAtOnce
+					}
+				}
+				b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*plansAtOnce), "us/plan")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/planner/place.go
@@ -0,0 +1,249 @@
+package planner
+
+import (
+	"container/heap"
+
+	"firwood.dev/firwood/internal/ledger"
+)
+
+// score orders machines for a job: the kind that it should use, the image at
+// hand, then the fullest, so that others run empty and can be given back.
+func (r *round) score(j *ledger.Job, m *ledger.Machine) float64 {
+	s := 0.0
+	if j.Spec.Spot == m.Spot {
+		s += 100
+	}
+	if j.Service() && m.Replicas() > 0 {
+		// Replicas stay for long, and a machine that has one cannot be given
+		// back: they go together.
+		s += 50
+	}
+	if _, ok := m.Images[j.Spec.Image]; ok {
+		s += 20
+	} else if m.Fetching(j.Spec.Image) {
+		s += 10
+	}
+	if n := j.ErrorsOn[m.Name]; n > 0 {
+		s -= 1000
+	}
+	if !j.Service() {
+		// A machine is paid for until its last task ends: a task goes where it
+		// prolongs that least.
+		run := r.pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)
+		longer := max(run-r.busyFor(m), 0)
+		s -= 8 * longer / (longer + 30)
+	}
+	if m.Cap.CPU > 0 {
+		s += 5 * float64(m.Used().CPU+r.held[m.Rank].CPU) / float64(m.Cap.CPU)
+	}
+	return s
+}
+
+// busyFor is how long, in seconds, a machine will be busy with what it has.
+func (r *round) busyFor(m *ledger.Machine) float64 {
+	b := &r.busy[m.Rank]
+	if *b < 0 {
+		*b = 0
+		m.Places(func(p *ledger.Placement) { *b = max(*b, r.pl.remaining(p, r.now)) })
+	}
+	return *b
+}
+
+// option is a machine that a job may use now.
+type option struct {
+	m *ledger.Machine
+	s float64
+}
+
+// options is a heap with the best on top, by score, then by name: a job of ten
+// tasks need not sort a thousand machines.
+type options []option
+
+func (o options) Len() int { return len(o) }
+func (o options) Less(a, b int) bool {
+	return o[a].s > o[b].s || o[a].s == o[b].s && o[a].m.Rank < o[b].m.Rank
+}
+func (o options) Swap(a, b int) { o[a], o[b] = o[b], o[a] }
+func (o *options) Push(x any)   { *o = append(*o, x.(option)) }
+func (o *options) Pop() any {
+	x := (*o)[len(*o)-1]
+	*o = (*o)[:len(*o)-1]
+	return x
+}
+
+// drop takes the best off.
+func (o *options) drop() {
+	n := len(*o) - 1
+	(*o)[0] = (*o)[n]
+	*o = (*o)[:n]
+	if n > 1 {
+		heap.Fix(o, 0)
+	}
+}
+
+// candidates lists the machines with room for a task of the job, pool by pool.
+// What has no room left for anything that waits is passed over from now on.
+func (r *round) candidates(j *ledger.Job, f func(*ledger.Machine)) {
+	for _, v := range r.pools {
+		if len(v.open) == 0 || !ledger.Allowed(j, v.open[0]) {
+			continue // a job's wishes are for pools, not for single machines
+		}
+		kept := v.open[:0]
+		for _, m := range v.open {
+			free := r.free(m)
+			if !r.least.Fits(free) {
+				continue
+			}
+			kept = append(kept, m)
+			if j.Need.Fits(free) {
+				f(m)
+			}
+		}
+		v.open = kept
+	}
+}
+
+func (r *round) hold(m *ledger.Machine, need ledger.Resources) {
+	r.held[m.Rank] = r.held[m.Rank].Add(need)
+}
+
+// placeTasks places independent tasks.
+func (r *round) placeTasks(e *entry) int {
+	j := e.job
+	most := min(len(e.tasks), e.limit)
+	if most <= 0 {
+		return 0
+	}
+	placed := 0
+	put := func(m *ledger.Machine) bool {
+		if !j.Need.Fits(r.free(m)) {
+			return false
+		}
+		if !j.Marked {
+			// Its mark has to be durable first; the room is kept until then.
+			r.hold(m, j.Need)
+		} else if r.l.Place(j, e.tasks[placed], m, r.l.Attempt(), r.now) != nil {
+			return false
+		}
+		placed++
+		return true
+	}
+	if j.Spec.Spread {
+		r.placeSpread(j, most, put)
+		return placed
+	}
+	var c options
+	r.candidates(j, func(m *ledger.Machine) { c = append(c, option{m, r.score(j, m)}) })
+	heap.Init(&c)
+	for ; len(c) > 0 && placed < most; c.drop() {
+		for placed < most && put(c[0].m) {
+		}
+	}
+	return placed
+}
+
+// placeSpread places tasks one by one, each in the zone that has the fewest.
+func (r *round) placeSpread(j *ledger.Job, most int, put func(*ledger.Machine) bool) {
+	type zone struct {
+		c     options
+		count int
+	}
+	var zones []*zone
+	byName := map[string]*zone{}
+	r.candidates(j, func(m *ledger.Machine) {
+		z := byName[m.Zone]
+		if z == nil {
+			z = &zone{count: j.InZone(m.Zone)}
+			byName[m.Zone] = z
+			zones = append(zones, z)
+		}
+		z.c = append(z.c, option{m, r.score(j, m)})
+	})
+	for _, z := range zones {
+		heap.Init(&z.c)
+	}
+	for placed := 0; placed < most; {
+		var best *zone
+		for _, z := range zones {
+			if len(z.c) == 0 || z.count >= j.SpreadLimit() {
+				continue
+			}
+			if best == nil || z.count < best.count || z.count == best.count && better(z.c[0], best.c[0]) {
+				best = z
+			}
+		}
+		if best == nil {
+			return
+		}
+		if put(best.c[0].m) {
+			best.count++
+			placed++
+		} else {
+			best.c.drop()
+		}
+	}
+}
+
+func better(a, b option) bool { return options{a, b}.Less(0, 1) }
+
+// placeGang places all tasks of a gang, or none.
+func (r *round) placeGang(e *entry) int {
+	j := e.job
+	if len(e.tasks) != len(j.Tasks) || e.limit < len(j.Tasks) {
+		return 0
+	}
+	try := func(zone string) []*ledger.Machine {
+		var c options
+		r.candidates(j, func(m *ledger.Machine) {
+			if zone == "" || m.Zone == zone {
+				c = append(c, option{m, r.score(j, m)})
+			}
+		})
+		heap.Init(&c)
+		spots := make([]*ledger.Machine, 0, len(e.tasks))
+		zones := map[string]int{}
+		for ; len(c) > 0 && len(spots) < len(e.tasks); c.drop() {
+			m := c[0].m
+			room := r.free(m)
+			for len(spots) < len(e.tasks) && j.Need.Fits(room) {
+				if j.Spec.Spread && zones[m.Zone] >= j.SpreadLimit() {
+					break
+				}
+				room = room.Sub(j.Need)
+				zones[m.Zone]++
+				spots = append(spots, m)
+			}
+		}
+		if len(spots) < len(e.tasks) {
+			return nil
+		}
+		return spots
+	}
+	var spots []*ledger.Machine
+	if j.Spec.OneZone {
+		for _, z := range r.pl.Zones {
+			if spots = try(z); spots != nil {
+				break
+			}
+		}
+	} else {
+		spots = try("")
+	}
+	if spots == nil {
+		return 0
+	}
+	if !j.Marked {
+		for _, m := range spots {
+			r.hold(m, j.Need)
+		}
+		return len(spots)
+	}
+	attempt := r.l.Attempt()
+	for k, m := range spots {
+		if r.l.Place(j, e.tasks[k], m, attempt, r.now) != nil {
+			r.l.StopJob(j, 0) // cannot start whole; what was decided is undone
+			return 0
+		}
+	}
+	return len(spots)
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,237 @@
+package planner
+
+import (
+	"math"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/ledger"
+	"firwood.dev/firwood/wire"
+)
+
+// Pool is what the cloud rents from: a type, a zone, a kind.
+type Pool struct {
+	Type, Zone string
+	Spot       bool
+}
+
+// poolState is what refusals have taught of a pool.
+type poolState struct {
+	blockedUntil clock.Micros
+	refusals     int
+}
+
+// Planner holds what is learnt.
+type Planner struct {
+	P     Params
+	Types map[string]wire.MachineType
+	Teams map[string]ledger.Team
+	Zones []string
+
+	// Due are the times within which users expect jobs to be done, in seconds
+	// by class, where a job has no deadline of its own.
+	Due map[string]float64
+	// Fresh is how long ago a machine that can be heard may have reported last;
+	// Since is when this leader took over.
+	Fresh, Since clock.Micros
+	// Waits are the shortest waits that users expect, in seconds by class.
+	Waits map[string]float64
+
+	runs     map[string]*RunTimes
+	spot     Demand
+	ordinary Demand
+	boots    map[string]*hdrhistogram.Histogram
+	pools    map[Pool]*poolState
+
+	// Memory that plans use again.
+	held []ledger.Resources
+	busy []float64
+}
+
+// New makes a planner that has learnt nothing.
+func New(p Params, types []wire.MachineType, teams map[string]ledger.Team, zones []string) *Planner {
+	pl := &Planner{
+		P: p, Types: map[string]wire.MachineType{}, Teams: teams, Zones: zones,
+		runs: map[string]*RunTimes{}, boots: map[string]*hdrhistogram.Histogram{}, pools: map[Pool]*poolState{},
+	}
+	for _, t := range types {
+		pl.Types[t.Name] = t
+	}
+	return pl
+}
+
+// Class returns the run times of a class.
+func (pl *Planner) Class(name string) *RunTimes {
+	r := pl.runs[name]
+	if r == nil {
+		r = &RunTimes{}
+		pl.runs[name] = r
+	}
+	return r
+}
+
+func (pl *Planner) demand(j *ledger.Job) *Demand {
+	if j.Spec.Spot {
+		return &pl.spot
+	}
+	return &pl.ordinary
+}
+
+// Size is what a machine of a type holds.
+func (pl *Planner) Size(typ string) ledger.Resources {
+	t := pl.Types[typ]
+	return ledger.FromAmounts(t.CPUs, t.GPUs, t.MemoryGB)
+}
+
+// perMachine is how many tasks of a job a machine of a type holds.
+func (pl *Planner) perMachine(need ledger.Resources, typ string) int {
+	size := pl.Size(typ)
+	n := math.MaxInt32
+	for _, d := range [][2]int64{{need.CPU, size.CPU}, {need.GPU, size.GPU}, {need.Mem, size.Mem}} {
+		if d[0] > 0 {
+			n = min(n, int(d[1]/d[0]))
+		}
+	}
+	return n
+}
+
+// share is how much of machines a job takes in all, of the type that holds most
+// of its tasks.
+func (pl *Planner) share(j *ledger.Job) float64 {
+	best := 0
+	for name := range pl.Types {
+		if j.Spec.Types == nil || slices.Contains(j.Spec.Types, name) {
+			best = max(best, pl.perMachine(j.Need, name))
+		}
+	}
+	return float64(len(j.Tasks)) / float64(max(best, 1))
+}
+
+// Machines is a job's need in machines of the type that holds most of it.
+func (pl *Planner) Machines(j *ledger.Job) int {
+	return max(int(math.Ceil(pl.share(j)-1e-9)), 1)
+}
+
+// Arrived takes a new job.
+func (pl *Planner) Arrived(j *ledger.Job, now clock.Micros) {
+	if w, ok := pl.Waits[j.Spec.Class]; ok {
+		d := pl.demand(j)
+		if d.wait == 0 || w < d.wait {
+			d.wait = w
+		}
+	}
+	pl.demand(j).Arrived(now, pl.Machines(j), pl.share(j), &pl.P)
+}
+
+// Finished takes a task's run time.
+func (pl *Planner) Finished(j *ledger.Job, seconds float64, now clock.Micros) {
+	pl.Class(j.Spec.Class).Observe(j.Spec.EstimateS, seconds, pl.P.SmoothService)
+	pl.demand(j).Finished(now, seconds, &pl.P)
+}
+
+// Booted takes the time that a machine took to report.
+func (pl *Planner) Booted(typ string, d clock.Micros) {
+	h := pl.boots[typ]
+	if h == nil {
+		h = hdrhistogram.New(1, int64(3600*clock.Second/clock.Millisecond), 2)
+		pl.boots[typ] = h
+	}
+	// A value past the histogram's bound says no more than the bound does.
+	_ = h.RecordValue(min(max(int64(d/clock.Millisecond), 1), h.HighestTrackableValue()))
+}
+
+// BootTime is a learnt quantile of a type's boot time; before there are
+// samples it rests on the nominal figure.
+func (pl *Planner) BootTime(typ string, quantile float64) clock.Micros {
+	nominal := clock.FromSeconds(pl.Types[typ].BootS)
+	if h := pl.boots[typ]; h != nil && h.TotalCount() >= 8 {
+		return clock.Micros(h.ValueAtQuantile(quantile)) * clock.Millisecond
+	}
+	if quantile > 90 {
+		return nominal + nominal/2 // usually 0.6 to 1.5 times the figure
+	}
+	return nominal
+}
+
+// StuckAfter is how long a machine may boot before it is given up.
+func (pl *Planner) StuckAfter(typ string) clock.Micros {
+	return 2*pl.BootTime(typ, 95) + 2*clock.Second
+}
+
+// Refused takes an empty pool; it is left alone for a growing while.
+func (pl *Planner) Refused(p Pool, now clock.Micros) {
+	s := pl.pool(p)
+	s.refusals++
+	wait := min(clock.Second<<min(s.refusals, 5), 20*clock.Second)
+	s.blockedUntil = now + wait
+}
+
+// Granted takes how much of a rental was filled.
+func (pl *Planner) Granted(p Pool, asked, got int, now clock.Micros) {
+	s := pl.pool(p)
+	if got >= asked {
+		s.refusals, s.blockedUntil = 0, 0
+		return
+	}
+	pl.Refused(p, now)
+}
+
+func (pl *Planner) pool(p Pool) *poolState {
+	s := pl.pools[p]
+	if s == nil {
+		s = &poolState{}
+		pl.pools[p] = s
+	}
+	return s
+}
+
+// remaining predicts the rest of a placement's run, in seconds.
+func (pl *Planner) remaining(p *ledger.Placement, now clock.Micros) float64 {
+	if p.Job.Service() {
+		return math.Inf(1)
+	}
+	if p.Stopping() {
+		return 0.5
+	}
+	if p.ForecastAt != 0 && now-p.ForecastAt < forecastFor && p.Forecast > now {
+		return (p.Forecast - now).Seconds()
+	}
+	left := pl.forecast(p, now)
+	p.Forecast, p.ForecastAt = now+clock.FromSeconds(left), now
+	return left
+}
+
+// forecastFor is how long a forecast is good for. Thousands of tasks run at a
+// time, and what is known of one changes little within a second.
+const forecastFor = 1 * clock.Second
+
+func (pl *Planner) forecast(p *ledger.Placement, now clock.Micros) float64 {
+	r := pl.Class(p.Job.Spec.Class)
+	if p.Started == 0 {
+		fetch := 0.0
+		if t, ok := pl.Types[p.Machine.Type]; ok && t.FetchGBPerS > 0 {
+			fetch = p.Job.Spec.ImageGB / t.FetchGBPerS
+		}
+		return fetch + r.Predict(p.Job.Spec.EstimateS)
+	}
+	return r.Remaining(p.Job.Spec.EstimateS, (now - p.Started).Seconds())
+}
+
+// SetTypes takes what the cloud has on offer.
+func (pl *Planner) SetTypes(types []wire.MachineType) {
+	pl.Types = map[string]wire.MachineType{}
+	for _, t := range types {
+		pl.Types[t.Name] = t
+	}
+}
+
+// Ends predicts how long a placement will still run.
+func (pl *Planner) Ends(p *ledger.Placement, now clock.Micros) clock.Micros {
+	r := pl.remaining(p, now)
+	if math.IsInf(r, 1) || r > 1e6 {
+		return math.MaxInt64
+	}
+	return clock.FromSeconds(r)
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -430,17 +430,3 @@
 		t.Fatal("never asked again")
 	}
 }
-
-func BenchmarkPlan(b *testing.B) {
-	s := newScene(map[string]ledger.Team{"a": {}})
-	for i := 0; i < 40; i++ {
-		s.machine(fmt.Sprint("i-", i), "big", []string{"x", "y"}[i%2], i%3 > 0)
-	}
-	for i := 0; i < 100; i++ {
-		s.job(wire.Job{ID: fmt.Sprintf("req-%06d", i), Team: "a", Tasks: 20, CPUs: 2, EstimateS: 40, Spot: true})
-	}
-	b.ReportAllocs()
-	for i := 0; i < b.N; i++ {
-		s.pl.Plan(s.l, s.now, s.now, nil)
-	}
-}
--- /dev/null
+++ b/internal/planner/preempt.go
@@ -0,0 +1,222 @@
+package planner
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"firwood.dev/firwood/internal/ledger"
+)
+
+// room is what a machine will have once the tasks that are stopping are gone.
+func (r *round) room(m *ledger.Machine) ledger.Resources {
+	if r.freeing == nil {
+		r.freeing = make([]ledger.Resources, len(r.machines))
+		for _, m := range r.machines {
+			m.Places(func(p *ledger.Placement) {
+				if p.Stopping() {
+					r.freeing[m.Rank] = r.freeing[m.Rank].Add(p.Job.Need)
+				}
+			})
+		}
+	}
+	return r.free(m).Add(r.freeing[m.Rank])
+}
+
+// preempt stops work to make room for jobs of higher rank, and for jobs that
+// their team's guarantee covers. What loses least goes first.
+func (r *round) preempt(q []*entry, owed map[*ledger.Job]bool) {
+	var active []*ledger.Job // what may be stopped at all, for somebody
+	for _, e := range q {
+		j := e.job
+		if e.left <= 0 || j.Priority != 0 && !e.owed {
+			continue
+		}
+		if active == nil {
+			active = []*ledger.Job{}
+			for _, v := range r.l.Jobs {
+				if v.Active() > 0 && !v.Gang() {
+					active = append(active, v)
+				}
+			}
+		}
+		below := func(v *ledger.Job) bool {
+			if v.Gang() || v == j {
+				return false
+			}
+			return v.Priority > j.Priority || e.owed && !owed[v] && v.Spec.Team != j.Spec.Team && v.Priority >= j.Priority && !v.Service()
+		}
+		if !slices.ContainsFunc(active, below) {
+			continue // nobody's work is below this job's
+		}
+		mayStop := func(p *ledger.Placement) bool { return !p.Stopping() && below(p.Job) }
+		if j.Gang() {
+			r.preemptForGang(j, mayStop)
+		} else {
+			r.preemptForTasks(e, mayStop)
+		}
+	}
+}
+
+// claim books room that is being freed for a job; its tasks are placed there
+// when it is.
+func (r *round) claim(m *ledger.Machine, need ledger.Resources) {
+	r.freeing[m.Rank] = r.freeing[m.Rank].Sub(need)
+}
+
+// stop stops a task and counts what it frees.
+func (r *round) stop(p *ledger.Placement) {
+	r.freeing[p.Machine.Rank] = r.freeing[p.Machine.Rank].Add(p.Job.Need)
+	r.l.Stop(p, 0)
+}
+
+// soft lists a pool's machines where something may be stopped or is stopping:
+// most others are full of replicas, which nothing outranks.
+func (r *round) soft(v *poolView) []*ledger.Machine {
+	if !v.softDone {
+		v.softDone = true
+		lesser := false
+		for _, j := range r.l.Jobs {
+			lesser = lesser || j.Service() && j.Priority > 0
+		}
+		for _, m := range r.machines {
+			if m.Type == v.pool.Type && m.Zone == v.pool.Zone && m.Spot == v.pool.Spot && m.Usable() &&
+				(lesser || m.Tasks() > m.Replicas() || r.least.Fits(r.room(m))) {
+				v.soft = append(v.soft, m)
+			}
+		}
+	}
+	return v.soft
+}
+
+// preemptForTasks stops work for independent tasks, each time where it loses
+// least.
+func (r *round) preemptForTasks(e *entry, mayStop func(*ledger.Placement) bool) {
+	j := e.job
+	// What a start on the machine costs in lost work; more is better, as a
+	// heap of options has the highest on top.
+	weigh := func(m *ledger.Machine) (option, []*ledger.Placement, bool) {
+		have := r.room(m)
+		if j.Need.Fits(have) {
+			return option{m, 0}, nil, true
+		}
+		if m.Tasks() == 0 {
+			return option{}, nil, false
+		}
+		vs := stoppable(m, mayStop)
+		cost := 0.0
+		k := 0
+		for ; k < len(vs) && !j.Need.Fits(have); k++ {
+			have = have.Add(vs[k].Job.Need)
+			cost += (r.now - vs[k].Since).Seconds() * float64(vs[k].Job.Need.CPU)
+		}
+		return option{m, -cost}, vs[:k], j.Need.Fits(have)
+	}
+	var c options
+	for _, v := range r.pools {
+		if soft := r.soft(v); len(soft) > 0 && ledger.Allowed(j, soft[0]) {
+			for _, m := range soft {
+				if o, _, ok := weigh(m); ok {
+					c = append(c, o)
+				}
+			}
+		}
+	}
+	heap.Init(&c)
+	zones := map[string]int{}
+	for e.left > 0 && len(c) > 0 {
+		m := c[0].m
+		if j.Spec.Spread && j.InZone(m.Zone)+zones[m.Zone] >= j.SpreadLimit() {
+			c.drop()
+			continue
+		}
+		o, victims, ok := weigh(m)
+		if !ok {
+			c.drop()
+			continue
+		}
+		if o.s != c[0].s {
+			c[0] = o // it has given some before
+			heap.Fix(&c, 0)
+			continue
+		}
+		for _, p := range victims {
+			r.stop(p)
+		}
+		r.claim(m, j.Need)
+		zones[m.Zone]++
+		e.left--
+	}
+}
+
+// preemptForGang stops work so that a whole gang finds room, or stops nothing.
+func (r *round) preemptForGang(j *ledger.Job, mayStop func(*ledger.Placement) bool) {
+	var machines []*ledger.Machine
+	for _, m := range r.machines {
+		if m.Usable() && ledger.Allowed(j, m) {
+			machines = append(machines, m)
+		}
+	}
+	slices.SortStableFunc(machines, func(a, b *ledger.Machine) int { return -cmp.Compare(r.score(j, a), r.score(j, b)) })
+	zones := []string{""}
+	if j.Spec.OneZone {
+		zones = r.pl.Zones
+	}
+	for _, zone := range zones {
+		var victims []*ledger.Placement
+		taken := map[*ledger.Machine]int{}
+		byZone := map[string]int{}
+		left := len(j.Tasks)
+		// First what is free, or is being freed, then what has to be stopped.
+		for i, m := range append(slices.Clone(machines), machines...) {
+			if left == 0 || zone != "" && m.Zone != zone {
+				continue
+			}
+			var vs []*ledger.Placement
+			if i >= len(machines) {
+				vs = stoppable(m, mayStop)
+			}
+			have := r.room(m).Sub(j.Need.Times(taken[m]))
+			for left > 0 && !(j.Spec.Spread && byZone[m.Zone] >= j.SpreadLimit()) {
+				k := 0
+				with := have
+				for ; k < len(vs) && !j.Need.Fits(with); k++ {
+					with = with.Add(vs[k].Job.Need)
+				}
+				if !j.Need.Fits(with) {
+					break
+				}
+				victims = append(victims, vs[:k]...)
+				vs = vs[k:]
+				have = with.Sub(j.Need)
+				taken[m]++
+				byZone[m.Zone]++
+				left--
+			}
+		}
+		if left > 0 {
+			continue
+		}
+		for _, p := range victims {
+			r.stop(p)
+		}
+		for m, n := range taken {
+			r.claim(m, j.Need.Times(n))
+		}
+		return
+	}
+}
+
+// stoppable lists what may be stopped on a machine, what started last first.
+func stoppable(m *ledger.Machine, mayStop func(*ledger.Placement) bool) []*ledger.Placement {
+	var vs []*ledger.Placement
+	m.Places(func(p *ledger.Placement) {
+		if mayStop(p) {
+			vs = append(vs, p)
+		}
+	})
+	slices.SortFunc(vs, func(a, b *ledger.Placement) int {
+		return cmp.Or(-cmp.Compare(a.Since, b.Since), cmp.Compare(a.Index, b.Index))
+	})
+	return vs
+}
--- /dev/null
+++ b/internal/planner/queue.go
@@ -0,0 +1,122 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/ledger"
+)
+
+// entry is a waiting job in the order of the plan.
+type entry struct {
+	job   *ledger.Job
+	owed  bool
+	tight bool // can still be in time, if it starts soon
+	ahead bool // its tasks are not known to be gone yet
+	need  int
+	run   float64
+	tasks []int // waiting tasks that may be placed now
+	left  int   // of those, not placed by this plan
+	limit int   // of those, allowed by the team's limit
+}
+
+// owed tells which jobs fit into their team's guarantee together with the
+// team's earlier unfinished jobs.
+func (pl *Planner) owed(l *ledger.Ledger) map[*ledger.Job]bool {
+	byTeam := map[string][]*ledger.Job{}
+	for _, j := range l.Jobs {
+		if g := pl.Teams[j.Spec.Team]; !j.Withdrawn && !j.Complete() && (g.CPU > 0 || g.GPU > 0) {
+			byTeam[j.Spec.Team] = append(byTeam[j.Spec.Team], j)
+		}
+	}
+	out := map[*ledger.Job]bool{}
+	for team, jobs := range byTeam {
+		slices.SortFunc(jobs, func(a, b *ledger.Job) int {
+			return cmp.Or(cmp.Compare(a.Submitted, b.Submitted), cmp.Compare(a.Spec.ID, b.Spec.ID))
+		})
+		g := pl.Teams[team]
+		var sum ledger.Resources
+		for _, j := range jobs {
+			sum = sum.Add(j.Need.Times(len(j.Tasks)))
+			if (g.CPU == 0 && sum.CPU > 0) || sum.CPU > g.CPU || sum.GPU > g.GPU {
+				break
+			}
+			out[j] = true
+		}
+	}
+	return out
+}
+
+// queue lists the waiting jobs in SNF order, inside rank and guarantee.
+func (pl *Planner) queue(l *ledger.Ledger, owed map[*ledger.Job]bool, now, wall clock.Micros) []*entry {
+	var q []*entry
+	for _, j := range l.Jobs {
+		if j.Withdrawn || j.WaitingCount() == 0 || j.WaitingCount() == j.Doubts() {
+			continue
+		}
+		e := &entry{job: j, owed: owed[j], need: 1, run: pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)}
+		e.tight = pl.tight(j, e.run, wall)
+		if j.Gang() {
+			e.need = pl.Machines(j)
+			// A gang starts whole, or waits.
+			if j.Doubts() > 0 || j.Active() > 0 {
+				continue
+			}
+		}
+		held := false
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			if t.State != ledger.Waiting || t.Doubt || t.Place != nil {
+				continue
+			}
+			if t.NotBefore > now {
+				held = true
+				continue
+			}
+			e.tasks = append(e.tasks, i)
+		}
+		if len(e.tasks) == 0 || held && j.Gang() {
+			continue
+		}
+		e.left = len(e.tasks)
+		q = append(q, e)
+	}
+	slices.SortFunc(q, func(a, b *entry) int {
+		return cmp.Or(
+			cmp.Compare(a.job.Priority, b.job.Priority),
+			-cmp.Compare(btoi(a.owed), btoi(b.owed)),
+			-cmp.Compare(btoi(a.tight), btoi(b.tight)),
+			cmp.Compare(a.need, b.need),
+			cmp.Compare(a.run, b.run),
+			cmp.Compare(a.job.Submitted, b.job.Submitted),
+			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+	})
+	return q
+}
+
+// tight tells whether a job's time has come: its run still fits before its due
+// time, with little to spare. By need and run time alone, the last tasks of a
+// long job wait for every shorter one that comes. A job that is late anyway has
+// no such claim.
+func (pl *Planner) tight(j *ledger.Job, run float64, wall clock.Micros) bool {
+	due := j.Spec.DeadlineS
+	if due == 0 {
+		due = pl.Due[j.Spec.Class]
+	}
+	if due == 0 || j.Service() {
+		return false
+	}
+	slack := due - (wall - j.Submitted).Seconds() - run
+	return slack >= 0 && slack < max(run/4, tightSlack)
+}
+
+// tightSlack is the least slack, in seconds, that makes a job go first.
+const tightSlack = 20
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/planner/spares.go
@@ -0,0 +1,223 @@
+package planner
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/ledger"
+)
+
+// spares chooses the spare target of each kind, rents what it lacks, and gives
+// back what has been idle for long and is not wanted.
+func (r *round) spares(q []*entry, hires []Hire, d *Decision) {
+	keep := 0
+	d.Spot, keep = r.spareTarget(&r.pl.spot, true, q, hires, d)
+	r.giveBack(true, keep, d)
+	d.Ordinary, keep = r.spareTarget(&r.pl.ordinary, false, q, hires, d)
+	r.giveBack(false, keep, d)
+	if len(q) == 0 && len(hires) == 0 {
+		d.Drain = r.consolidate(keep)
+	}
+}
+
+// pressing tells whether users expect starts of this kind of demand sooner
+// than a machine boots. Only then is an idle machine worth its price; where
+// they wait longer than a boot anyway, a machine rented on arrival does.
+func (pl *Planner) pressing(dm *Demand, boot clock.Micros) bool {
+	return dm.wait == 0 && len(pl.Waits) == 0 || dm.wait > 0 && dm.wait < boot.Seconds()
+}
+
+// settledFor is how long a replica has to run before it may be moved.
+const settledFor = 45 * clock.Second
+
+// consolidate picks an ordinary machine that is at most half used by replicas
+// alone, and whose replicas all fit where there are others and their image is
+// at hand: moved there they are away for a moment only, and the machine can be
+// given back. The free room that the spare target keeps is not touched.
+func (r *round) consolidate(keep int) *ledger.Machine {
+	var best *ledger.Machine
+	var spare float64
+	for _, m := range r.machines {
+		if m.Spot {
+			continue
+		}
+		if m.Draining || !m.Synced {
+			return nil // one at a time
+		}
+		spare += float64(m.Free().CPU) / float64(max(m.Cap.CPU, 1))
+	}
+	for _, m := range r.machines {
+		if m.Spot || !m.Usable() || m.Idle() || 2*m.Used().CPU > m.Cap.CPU || spare-1 < float64(keep) {
+			continue
+		}
+		if best != nil && best.Used().CPU <= m.Used().CPU {
+			continue
+		}
+		if r.movable(m) {
+			best = m
+		}
+	}
+	return best
+}
+
+func (r *round) movable(m *ledger.Machine) bool {
+	room := map[*ledger.Machine]ledger.Resources{}
+	ok := true
+	m.Places(func(p *ledger.Placement) {
+		j := p.Job
+		if !ok || !j.Service() || p.Stopping() || p.Started == 0 || r.now-p.Started < settledFor || j.Doubts() > 0 {
+			ok = false
+			return
+		}
+		placed := false
+		for _, o := range r.machines {
+			if o == m || o.Spot && !j.Spec.Spot || !o.Usable() || o.Replicas() == 0 || o.Used().CPU < m.Used().CPU {
+				continue
+			}
+			// Within a zone nothing changes for the job's wishes; else they
+			// have to allow one more.
+			if o.Zone != m.Zone && !ledger.Allowed(j, o) || o.Type != m.Type && !ledger.Allowed(j, o) {
+				continue
+			}
+			free, seen := room[o]
+			if !seen {
+				free = o.Free()
+			}
+			if !j.Need.Fits(free) {
+				continue
+			}
+			// Which of the machines it will be is settled only when it has
+			// stopped: each has to have the image, or it is away for a fetch.
+			if _, cached := o.Images[j.Spec.Image]; !cached {
+				ok = false
+				return
+			}
+			if !placed {
+				room[o] = free.Sub(j.Need)
+				placed = true
+			}
+		}
+		ok = ok && placed
+	})
+	return ok
+}
+
+func (r *round) spareTarget(dm *Demand, spot bool, q []*entry, hires []Hire, d *Decision) (SpareReport, int) {
+	p := &r.pl.P
+	rep := SpareReport{Gaps: dm.Gaps.Screen(p, r.now), Runs: dm.Runs.Screen(p, r.now)}
+	empty := !slices.ContainsFunc(q, func(e *entry) bool { return e.job.Spec.Spot == spot && e.left > 0 })
+	services := !spot && rep.Runs.N == 0
+	rep.Open = rep.Gaps.OK && (rep.Runs.OK || services) && empty && dm.Recent(r.now, p)
+	if !rep.Open {
+		return rep, 0
+	}
+	in := SpareInput{Unit: dm.unit, Lambda: dm.Rate(), Needs: dm.needs, Horizon: min(p.Horizon, p.IdleWait).Seconds()}
+	var spare, beside float64 // free room in machines: in all, and on used ones
+	nearest := math.Inf(1)
+	active := 0
+	typ := ""
+	for _, m := range r.machines {
+		if m.Spot != spot || m.Draining || m.TakenAt != 0 {
+			continue
+		}
+		typ = m.Type
+		switch {
+		case m.Usable():
+			room := float64(r.free(m).CPU) / float64(max(m.Cap.CPU, 1))
+			spare += room
+			if !m.Idle() {
+				beside += room
+			}
+		case m.UpAt == 0:
+			in.Booting = append(in.Booting, max((r.pl.BootTime(m.Type, 50)-(r.now-m.Since)).Seconds(), 0))
+		}
+		m.Places(func(pc *ledger.Placement) {
+			if left := r.pl.remaining(pc, r.now); left > 0 {
+				nearest = min(nearest, left)
+			}
+			if !pc.Job.Service() {
+				active++
+			}
+		})
+	}
+	pool, ok := r.sparePool(spot, d)
+	if typ == "" {
+		typ = pool.Type
+	}
+	in.BootS = r.pl.BootTime(typ, 50).Seconds()
+	for _, h := range hires {
+		if h.Pool.Spot == spot {
+			for i := 0; i < h.Count; i++ {
+				in.Booting = append(in.Booting, in.BootS)
+			}
+		}
+	}
+	in.Ready = int(spare / dm.unit)
+	switch {
+	case nearest > 0 && !math.IsInf(nearest, 1):
+		in.LambdaC = 1 / nearest
+	case dm.run > 0:
+		in.LambdaC = float64(active) / dm.run // (22), second branch
+	}
+	if !r.pl.pressing(dm, r.pl.BootTime(typ, 50)) {
+		return rep, 0
+	}
+	rep.Cost = in.Choose(p.SpareMin, p.SpareMax, p.Alpha, p.Beta)
+	target := float64(rep.Cost.X) * dm.unit
+	if lack := int(math.Ceil(target - spare - float64(len(in.Booting)) - 1e-9)); lack > 0 && ok {
+		d.Rent = append(d.Rent, Rent{pool, lack})
+	}
+	// The room beside running tasks is part of the target; whole idle machines
+	// are kept only for the rest of it.
+	return rep, max(int(math.Ceil(target-beside-1e-9)), 0)
+}
+
+// sparePool picks where a spare machine is rented.
+func (r *round) sparePool(spot bool, d *Decision) (Pool, bool) {
+	var best Pool
+	found := false
+	for name, t := range r.pl.Types {
+		for _, z := range t.Zones {
+			p := Pool{name, z, spot}
+			if r.now < r.pl.pool(p).blockedUntil {
+				continue
+			}
+			if !found || r.count(p) < r.count(best) || r.count(p) == r.count(best) && less(p, best) {
+				best, found = p, true
+			}
+		}
+	}
+	return best, found
+}
+
+// minimumCharge is what a deleted machine costs at least; the protocol says so.
+const minimumCharge = 60 * clock.Second
+
+// giveBack returns machines that have been idle for the wait, but for those
+// that the spare target keeps.
+func (r *round) giveBack(spot bool, keep int, d *Decision) {
+	dm := &r.pl.ordinary
+	if spot {
+		dm = &r.pl.spot
+	}
+	var idle []*ledger.Machine
+	for _, m := range r.machines {
+		if m.Spot == spot && m.Usable() && m.Idle() && r.held[m.Rank] == (ledger.Resources{}) {
+			idle = append(idle, m)
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b *ledger.Machine) int { return -cmp.Compare(a.IdleAt, b.IdleAt) })
+	for i, m := range idle {
+		idle := r.now - max(m.IdleAt, m.UpAt)
+		wait := r.pl.P.IdleWait
+		if !r.pl.pressing(dm, r.pl.BootTime(m.Type, 50)) {
+			wait = r.pl.P.LaxIdleWait
+		}
+		// The first minute is paid whether it is used or not.
+		if i >= keep && idle >= wait && (r.now-m.Since >= minimumCharge || idle >= r.pl.P.IdleWait) {
+			d.Return = append(d.Return, m)
+		}
+	}
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -5,6 +5,7 @@
 package state
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/url"
@@ -12,6 +13,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"firwood.dev/firwood/internal/client"
 	"firwood.dev/firwood/internal/clock"
@@ -43,8 +45,21 @@
 	Unknown
 )
 
+// Rank orders the writes that wait: the service takes few a second.
+type Rank uint8
+
+const (
+	// Binding: somebody waits for the answer, or the lock depends on it.
+	Binding Rank = iota
+	// Needed: work waits for it.
+	Needed
+	// Spare: it is sent when nothing else needs the rate.
+	Spare
+)
+
 // Write is an atomic set of changes.
 type Write struct {
+	Rank Rank
 	// Fence, if not 0, is the version that the lock key must have.
 	Fence uint64
 	If    []wire.Condition
@@ -74,6 +89,7 @@
 	mu       sync.Mutex
 	pending  []*Write
 	inFlight int
+	looking  bool // a look at the waiting writes is due
 
 	// lastOK and lastRefused are instants of the steady clock.
 	lastOK, lastRefused atomic.Int64
@@ -291,18 +307,26 @@
 	}
 }
 
-// next takes the longest run of waiting writes that fits one transaction.
-// Only writes with the same fence go together: a lost lock fails them all.
+// next takes the longest run of waiting writes that fits one transaction, the
+// most pressing first. Only writes with the same fence go together: a lost
+// lock fails them all. Writes that can wait are taken only as far as the rate
+// has them to spare: what is booked ahead for them would hold up the others.
+// They are looked at again a little later.
 func (c *Client) next() []*Write {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	_ = cmp.Compare[int]
 	var batch []*Write
 	ops, conds, size := 0, 0, 0
+	waits := false
 	kept := c.pending[:0]
 	for _, w := range c.pending {
 		fits := len(batch) == 0 ||
 			w.Fence == batch[0].Fence && ops+len(w.Then) <= c.limits.TxnOps &&
 				conds+len(w.If)+1 <= 4*c.limits.TxnOps && size+w.size <= maxTxn
+		if false && !c.writes.Has(float64(ops+2*len(w.Then))) {
+			fits, waits = false, true
+		}
 		if !fits {
 			kept = append(kept, w)
 			continue
@@ -316,23 +340,49 @@
 	c.pending = kept
 	if len(batch) == 0 {
 		c.inFlight--
+		if waits && !c.looking {
+			c.looking = true
+			time.AfterFunc(spareLook.Duration(), c.look)
+		}
 	}
 	return batch
 }
 
+// spareLook is how often it is looked whether the rate has writes to spare.
+const spareLook = 50 * clock.Millisecond
+
 func (c *Client) send() {
 	for {
 		// Waiting for the budget before choosing lets more writes join.
-		c.reads.Wait(1)
+		c.reads.Wait(0)
 		c.writes.Wait(0)
 		batch := c.next()
 		if len(batch) == 0 {
 			return
 		}
+		c.reads.Take(1)
 		c.commit(batch)
 	}
 }
 
+// look refuses waiting writes whose time is over, and tries the others.
+func (c *Client) look() {
+	now := clock.Now()
+	var late []*Write
+	c.mu.Lock()
+	c.looking = false
+	c.pending = slices.DeleteFunc(c.pending, func(w *Write) bool {
+		if w.Deadline != 0 && now >= w.Deadline {
+			late = append(late, w)
+			return true
+		}
+		return false
+	})
+	c.launch()
+	c.mu.Unlock()
+	finish(late, Refused, 0)
+}
+
 func (c *Client) commit(batch []*Write) {
 	for len(batch) > 0 {
 		now := clock.Now()
