Writes in ranks: binding answers, then what work waits for, progress with what is left

Cause: progress of some 90 arrays, each every 0.7 s, filled the leader's 15 writes a second; submissions, marks and ends stood in the same line. Nothing is lost by writing it late: workers keep results until they are durable.

--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -491,7 +491,7 @@
 }
 
 // savesAtOnce bounds the writes of progress that wait.
-const savesAtOnce = 1000
+const savesAtOnce = 8
 
 func (l *lead) saveProgress(id string, j *ledger.Job, a *jobAux, todo []int, now clock.Micros) {
 	a.writing, a.wroteAt = true, now
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -315,7 +315,7 @@
 func (c *Client) next() []*Write {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_ = cmp.Compare[int]
+	slices.SortStableFunc(c.pending, func(a, b *Write) int { return cmp.Compare(a.Rank, b.Rank) })
 	var batch []*Write
 	ops, conds, size := 0, 0, 0
 	waits := false
@@ -324,7 +324,7 @@
 		fits := len(batch) == 0 ||
 			w.Fence == batch[0].Fence && ops+len(w.Then) <= c.limits.TxnOps &&
 				conds+len(w.If)+1 <= 4*c.limits.TxnOps && size+w.size <= maxTxn
-		if false && !c.writes.Has(float64(ops+2*len(w.Then))) {
+		if w.Rank == Spare && !c.writes.Has(float64(ops+2*len(w.Then))) {
 			fits, waits = false, true
 		}
 		if !fits {
