--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -322,6 +322,20 @@
 	w.lg.Ended, w.lg.Begun = nil, nil
 }
 
+// due tells whether a direct message would be sent now: the plain look at all
+// that is on the machine, which the outbox saves.
+func due(m *Machine) bool {
+	if m.directs || !m.Synced {
+		return false
+	}
+	for _, p := range m.places {
+		if p.Phase == Assigned || p.Phase == Present && p.stop && p.stopSent == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func TestHistories(t *testing.T) {
 	total := 0
 	for seed := uint64(1); seed <= 4000; seed++ {
@@ -373,6 +387,8 @@
 				if msg == nil {
 					return
 				}
+				// As the owner does: it goes off the list while a message is out.
+				w.lg.Outbox(func(o *Machine) bool { return o != m })
 				h := heldDirect{k, msg, w.lg, m, starts}
 				switch w.rng.IntN(4) {
 				case 0: // never leaves
@@ -386,6 +402,10 @@
 				}
 				w.makeDurable()
 			},
+			"outbox": func() {
+				// What has nothing due goes off the list; it must come back.
+				w.lg.Outbox(func(m *Machine) bool { return w.rng.IntN(2) == 0 || due(m) })
+			},
 			"late": func() {
 				if len(w.held) == 0 {
 					return
@@ -463,6 +483,9 @@
 		for step := 0; step < 300; step++ {
 			actions[names[w.rng.IntN(len(names))]]()
 			for _, m := range w.lg.Machines {
+				if due(m) && !m.outbox {
+					w.fatal("%s has a message due and is not in the outbox", m.Name)
+				}
 				var sum Resources
 				m.Places(func(p *Placement) { sum = sum.Add(p.Job.Need) })
 				if sum != m.Used() {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -153,3 +153,37 @@
 		t.Fatalf("nobody listens: %v", err)
 	}
 }
+
+// When more waits than the rate allows, what somebody waits for goes first, and
+// what can wait is sent only with rate to spare. Nothing of it is lost.
+func TestRanks(t *testing.T) {
+	c := New("127.0.0.1:1", Limits{RPS: 1000, WriteRPS: 8, TxnOps: 8}, "lead")
+	c.writes = client.NewBudget(8, 8)
+	c.inFlight, c.looking = maxInFlight, true // the test takes the batches itself
+	write := func(r Rank, key string) {
+		if !c.Commit(&Write{Rank: r, Fence: 7, Then: put(key, "1"), Done: func(Outcome, uint64) {}}) {
+			t.Fatal("refused")
+		}
+	}
+	for i := 0; i < 20; i++ {
+		write(Spare, fmt.Sprint("spare/", i))
+	}
+	write(Needed, "needed/0")
+	write(Binding, "binding/0")
+	first := c.next()
+	if len(first) < 3 || first[0].Rank != Binding || first[1].Rank != Needed || first[2].Rank != Spare {
+		t.Fatalf("the first batch has %d writes, ranks %v ...", len(first), first[0].Rank)
+	}
+	c.writes.Take(8) // the burst is used up
+	if b := c.next(); len(b) != 0 {
+		t.Fatalf("%d writes that can wait are sent with no rate to spare", len(b))
+	}
+	c.inFlight = maxInFlight
+	write(Binding, "binding/1")
+	if b := c.next(); len(b) != 1 || b[0].Rank != Binding {
+		t.Fatalf("a binding write waits behind others: %d writes", len(b))
+	}
+	if n := len(first) + 1 + len(c.pending); n != 23 {
+		t.Fatalf("%d of 23 writes are left", n)
+	}
+}
