A machine that a new leader has not heard is not one that never came up

Now only the cloud's list, which says booting, tells that of a machine that an earlier leader rented.

--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -72,6 +72,9 @@
 	host     *client.Host
 	notUntil clock.Micros // no direct messages before this instant
 	deleting bool
+	// booting: the cloud's last list said so. Of a machine that an earlier
+	// leader rented this alone tells that it has never come up.
+	booting bool
 }
 
 // jobAux is what the ledger need not know of a job.
@@ -875,7 +878,10 @@
 				l.c.log.Info("machine lost", "machine", name)
 				l.delete(m)
 			}
-		case m.UpAt == 0 && now-m.Since > l.pl.StuckAfter(m.Type) && quiet > silent:
+		case m.UpAt == 0 && (m.Since > l.since || a.booting) && now-m.Since > l.pl.StuckAfter(m.Type) && quiet > silent:
+			// Not having been heard is no proof for a new leader: once one took a
+			// zone that was cut off for machines that never came up, and deleted
+			// it with all that ran there.
 			l.c.log.Info("machine does not come up", "machine", name)
 			l.delete(m)
 		case m.UpAt != 0 && quiet > silent && zones[m.Zone].mostly():
@@ -1020,6 +1026,9 @@
 	if m.Addr == "" {
 		m.Addr = k.Addr
 	}
+	if a := l.machines[k.ID]; a != nil {
+		a.booting = k.State == wire.MachineBooting
+	}
 	if k.State == wire.MachineFailed {
 		l.c.log.Info("machine failed", "machine", k.ID)
 		l.delete(m)
--- a/internal/core/lead_test.go
+++ b/internal/core/lead_test.go
@@ -1,6 +1,14 @@
 package core
 
-import "testing"
+import (
+	"log/slog"
+	"slices"
+	"testing"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/config"
+	"firwood.dev/firwood/wire"
+)
 
 // A leader that is cut off from the workers hands over; one whose machines are
 // taken in a wave, or that nobody can replace, does not, and one that hears
@@ -23,3 +31,39 @@
 		}
 	}
 }
+
+// rebuilt makes a leader of token 9 that has found these machines recorded,
+// rented long ago. What it sends goes nowhere.
+func rebuilt(t *testing.T, machines ...string) *lead {
+	t.Helper()
+	cfg := &config.Platform{Member: "a", Location: "x", Others: []config.Other{{Member: "b", Location: "y", Address: "127.0.0.1:1"}}}
+	cfg.Outside.State, cfg.Outside.Cloud = "127.0.0.1:1", "127.0.0.1:1"
+	d := &cfg.Deployment
+	d.Zones = []string{"x", "y"}
+	d.Teams = []config.Team{{Name: "t"}}
+	d.Workers = config.Workers{ReportS: 2, LeaseS: 20, GangWaitS: 30, GangPeerS: 5, CancelS: 60}
+	d.State = config.State{RPS: 100, WriteRPS: 100, ValueKB: 16, TxnOps: 16}
+	d.Cloud = config.Cloud{RPS: 10, ListLagS: 1}
+	d.Limits = config.Limits{Cores: 1, RAMMB: 100, MaxSockets: 1000}
+	c := New(cfg, config.DefaultTuning(), slog.New(slog.DiscardHandler))
+	c.types = []wire.MachineType{{Name: "big", CPUs: 16, MemoryGB: 64, Price: 1, BootS: 15, Zones: d.Zones}}
+	c.view.hires["h"] = &hireRecord{Type: "big", Zone: "x", Count: len(machines), At: int64(clock.Wall() - 300*clock.Second), Resolved: true, Machines: machines}
+	return newLead(c, 9)
+}
+
+// A new leader has heard none of the machines that an earlier one rented. That
+// is no sign that they never came up; the cloud's list saying so is.
+func TestUnheardIsNotBooting(t *testing.T) {
+	l := rebuilt(t, "i-1", "i-2", "i-3")
+	later := l.since + l.silentAfter() + 2*clock.Second
+	l.watchMachines(later)
+	if len(l.deletes) != 0 {
+		t.Fatalf("deleted %v, of which nothing is known", l.deletes)
+	}
+	l.listed(&wire.ListedMachine{ID: "i-1", State: wire.MachineRunning}, later)
+	l.listed(&wire.ListedMachine{ID: "i-2", State: wire.MachineBooting}, later)
+	l.watchMachines(later)
+	if !slices.Equal(l.deletes, []string{"i-2"}) {
+		t.Fatalf("deleted %v, only i-2 has never come up", l.deletes)
+	}
+}
