Jobs in time before late ones, then the least work left of a job

Cause: under a burst of four times the arrays Kingston's fleet is full, and the order among arrays was the run time of one task, whatever their number; jobs that were late already held up others.

--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -16,6 +16,8 @@
 	ahead bool // its tasks are not known to be gone yet
 	need  int
 	run   float64
+	rest  float64 // seconds of work that wait: what the job still asks for
+	late  int     // by how much its time is over, see lateness
 	tasks []int // waiting tasks that may be placed now
 	left  int   // of those, not placed by this plan
 	limit int   // of those, allowed by the team's limit
@@ -57,6 +59,7 @@
 		}
 		e := &entry{job: j, owed: owed[j], need: 1, run: pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)}
 		e.tight = pl.tight(j, e.run, wall)
+		e.late = pl.lateness(j, e.run, wall)
 		if j.Gang() {
 			e.need = pl.Machines(j)
 			// A gang starts whole, or waits.
@@ -80,6 +83,10 @@
 			continue
 		}
 		e.left = len(e.tasks)
+		e.rest = e.run
+		if !j.Gang() {
+			e.rest *= float64(len(e.tasks))
+		}
 		q = append(q, e)
 	}
 	slices.SortFunc(q, func(a, b *entry) int {
@@ -87,8 +94,9 @@
 			cmp.Compare(a.job.Priority, b.job.Priority),
 			-cmp.Compare(btoi(a.owed), btoi(b.owed)),
 			-cmp.Compare(btoi(a.tight), btoi(b.tight)),
+			cmp.Compare(a.late, b.late),
 			cmp.Compare(a.need, b.need),
-			cmp.Compare(a.run, b.run),
+			cmp.Compare(a.rest, b.rest),
 			cmp.Compare(a.job.Submitted, b.job.Submitted),
 			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
 	})
@@ -100,17 +108,43 @@
 // long job wait for every shorter one that comes. A job that is late anyway has
 // no such claim.
 func (pl *Planner) tight(j *ledger.Job, run float64, wall clock.Micros) bool {
-	due := j.Spec.DeadlineS
+	due := pl.due(j)
 	if due == 0 {
-		due = pl.Due[j.Spec.Class]
-	}
-	if due == 0 || j.Service() {
 		return false
 	}
 	slack := due - (wall - j.Submitted).Seconds() - run
 	return slack >= 0 && slack < max(run/4, tightSlack)
 }
 
+// due is when a job should be done, in seconds from its submission; 0: no such
+// time.
+func (pl *Planner) due(j *ledger.Job) float64 {
+	switch {
+	case j.Service():
+		return 0
+	case j.Spec.DeadlineS > 0:
+		return j.Spec.DeadlineS
+	}
+	return pl.Due[j.Spec.Class]
+}
+
+// lateness is 0 for a job that can still be in time, 1 for one that can not, and
+// 2 for one that is late by half as much again: when not all can be done in
+// time, those that can are not held up by those that cannot.
+func (pl *Planner) lateness(j *ledger.Job, run float64, wall clock.Micros) int {
+	due := pl.due(j)
+	if due == 0 {
+		return 0
+	}
+	switch end := (wall - j.Submitted).Seconds() + run; {
+	case end <= due:
+		return 0
+	case end <= 1.5*due:
+		return 1
+	}
+	return 2
+}
+
 // tightSlack is the least slack, in seconds, that makes a job go first.
 const tightSlack = 20
 
