--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -17,10 +17,12 @@
 	need  int
 	run   float64
 	rest  float64 // seconds of work that wait: what the job still asks for
-	late  int     // by how much its time is over, see lateness
-	tasks []int // waiting tasks that may be placed now
-	left  int   // of those, not placed by this plan
-	limit int   // of those, allowed by the team's limit
+	// pressed: at its present width it will not be in time, but could be.
+	pressed bool
+	late    int   // by how much its time is over, see lateness
+	tasks   []int // waiting tasks that may be placed now
+	left    int   // of those, not placed by this plan
+	limit   int   // of those, allowed by the team's limit
 }
 
 // owed tells which jobs fit into their team's guarantee together with the
@@ -87,6 +89,7 @@
 		if !j.Gang() {
 			e.rest *= float64(len(e.tasks))
 		}
+		e.pressed = pl.pressed(e, wall)
 		q = append(q, e)
 	}
 	slices.SortFunc(q, func(a, b *entry) int {
@@ -128,6 +131,19 @@
 	return pl.Due[j.Spec.Class]
 }
 
+// pressed tells whether a job that has started will miss its time with the
+// machines it has, though more could still help. For such a one an ordinary
+// machine is worth its price when no spot machine is to be had.
+func (pl *Planner) pressed(e *entry, wall clock.Micros) bool {
+	j := e.job
+	due := pl.due(j)
+	if due == 0 || e.late > 0 || j.Active() == 0 {
+		return false
+	}
+	waves := 1 + float64(len(e.tasks))/float64(j.Active())
+	return (wall-j.Submitted).Seconds()+waves*e.run > due
+}
+
 // lateness is 0 for a job that can still be in time, 1 for one that can not, and
 // 2 for one that is late by half as much again: when not all can be done in
 // time, those that can are not held up by those that cannot.
--- a/internal/planner/rent.go
+++ b/internal/planner/rent.go
@@ -147,7 +147,7 @@
 		if n <= 0 {
 			continue
 		}
-		offers := r.offers(j, only, f)
+		offers := r.offers(j, e.pressed, only, f)
 		for n > 0 {
 			v := best(offers, func(zone string) bool { return most(zone) > 0 })
 			if v == nil || v.rented >= wire.MaxHire {
@@ -198,7 +198,7 @@
 				}
 			}
 		}
-		if len(r.offers(j, z, f)) > 0 {
+		if len(r.offers(j, false, z, f)) > 0 {
 			n = max(n, 1)
 		} else if n < len(j.Tasks) {
 			n = 0 // it cannot grow there now
@@ -257,7 +257,7 @@
 }
 
 // offers lists the pools that may be asked for a job now.
-func (r *round) offers(j *ledger.Job, only string, f *future) []offer {
+func (r *round) offers(j *ledger.Job, pressed bool, only string, f *future) []offer {
 	var out []offer
 	for name, t := range r.pl.Types {
 		per := r.pl.perMachine(j.Need, name)
@@ -273,7 +273,7 @@
 				if !poolAllowed(j, p) || r.now < r.pl.pool(p).blockedUntil {
 					continue
 				}
-				if j.Spec.Spot && !spot && t.SpotPrice > 0 && (j.Active() > 0 || r.now-j.Seen < r.pl.P.SpotPatience) {
+				if j.Spec.Spot && !spot && t.SpotPrice > 0 && !pressed && (j.Active() > 0 || r.now-j.Seen < r.pl.P.SpotPatience) {
 					continue // worth the wait for a spot machine
 				}
 				price := t.Price
