Controllers cut off with workers keep their leases alive by a bounded right

Cause: in a cut of a zone for 50 s the zone's leases of 36 s run out, and its replicas are down until that is proven. Now a follower (or a leader past its deadline) that hears no leader answers workers that it has sent on and that have come back, under the token of the leader that last echoed its clock, for as long as a cancellation leaves time. Package vouch has the argument, generated histories hold it; taking a guard away fails them.

The right ends too early for this cut.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"firwood.dev/firwood/internal/peer"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/internal/state"
+	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
@@ -50,10 +51,17 @@
 	submitting map[string][]*server.Reply
 	counts     map[string]peer.Count // progress of jobs as the leader last told
 	workers    map[string]clock.Micros
-	nextBeat   clock.Micros
-	dropLogAt  clock.Micros
-	dropsTold  int64
-	unfit      atomic.Bool // users should not be sent here
+	// voucher is this member's right to keep leases alive, sentOn the workers
+	// that were sent to the leader and may come back, stamps the others' clocks
+	// as last heard.
+	voucher   *vouch.Voucher
+	sentOn    map[string]clock.Micros
+	stamps    map[string]vouch.Stamp
+	times     vouch.Config
+	nextBeat  clock.Micros
+	dropLogAt clock.Micros
+	dropsTold int64
+	unfit     atomic.Bool // users should not be sent here
 
 }
 
@@ -80,7 +88,12 @@
 		submitting: map[string][]*server.Reply{},
 		counts:     map[string]peer.Count{},
 		workers:    map[string]clock.Micros{},
+		sentOn:     map[string]clock.Micros{},
+		stamps:     map[string]vouch.Stamp{},
 	}
+	w := &d.Workers
+	c.times = vouch.Times(clock.FromSeconds(w.CancelS), clock.FromSeconds(w.LeaseS), 3*beatEvery)
+	c.voucher = vouch.NewVoucher(c.times, uint64(clock.Wall()), clock.Now())
 	for _, t := range d.Teams {
 		g := ledger.FromAmounts(t.CPUs, t.GPUs, 0)
 		m := ledger.FromAmounts(t.CPUsMax, t.GPUsMax, 0)
@@ -276,6 +289,7 @@
 		return
 	}
 	c.log.Info("lead given up", "why", why, "token", c.lead.token)
+	c.voucher.Led(c.lead.token, c.lead.knewAt)
 	c.lead.close()
 	c.lead = nil
 	c.rebuilding = false
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"firwood.dev/firwood/internal/planner"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/internal/state"
+	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
@@ -52,8 +54,15 @@
 	deletes    []string
 	deleteBusy bool
 	deleteAt   clock.Micros
-	saving     int // progress writes under way
-	directing  int // direct messages under way
+	// bound tells until when others may have vouched for workers, echoes are the
+	// stamps that give them the right to, knewAt is the last instant before which
+	// every withdrawal is known here.
+	bound  *vouch.Bound
+	echoes map[string]vouch.Stamp
+	knewAt clock.Micros
+
+	saving    int // progress writes under way
+	directing int // direct messages under way
 }
 
 // hire is a rental from its record on, until the last machine of it is gone.
@@ -122,6 +131,12 @@
 	l.planGap = leastPlanGap
 	l.listAt = now + 2*clock.Second
 	l.renew()
+	var others []string
+	for _, o := range c.cfg.Others {
+		others = append(others, o.Member)
+	}
+	l.bound, l.echoes = vouch.NewBound(c.times, now, others), map[string]vouch.Stamp{}
+	l.lg.Vouched(l.bound.Latest(now))
 
 	wall := clock.Wall()
 	for name, rec := range c.view.hires {
@@ -142,7 +157,9 @@
 			l.addJob(id, rec, len(done) > 0)
 		} else if rec.Job != nil {
 			// Withdrawn, but its tasks are not known to be gone.
-			l.lg.Withdraw(l.addJob(id, rec, len(done) > 0), now)
+			j := l.addJob(id, rec, len(done) > 0)
+			l.lg.Withdraw(j, now)
+			j.WithdrawnAt = now - max(wall-clock.Micros(rec.End), 0)
 			l.jobs[id].over = true
 		}
 	}
@@ -843,8 +860,32 @@
 	return false
 }
 
+// confirm renews the rights of the others to keep leases alive: the stamps that
+// have come so far are echoed once the view is known to be newer than them, and
+// only while no withdrawn job is taking long to go. So what a withdrawal leaves
+// behind in a zone that is cut off ends in time; see vouch.Config.
+func (l *lead) confirm(now clock.Micros) {
+	stamps := maps.Clone(l.c.stamps)
+	l.c.view.wantSync(func(err error) {
+		if err != nil || l.closed || !l.c.entitled() {
+			return
+		}
+		for _, j := range l.lg.Jobs {
+			if j.Withdrawn && !l.lg.Gone(j) && clock.Now()-j.WithdrawnAt > l.c.times.Settle {
+				return
+			}
+		}
+		l.knewAt = now
+		for m, s := range stamps {
+			l.echoes[m] = s
+			l.bound.Echoed(m, now)
+		}
+	}, now+beatEvery)
+}
+
 // watchMachines gives up machines that are stuck, silent, taken or over.
 func (l *lead) watchMachines(now clock.Micros) {
+	l.lg.Vouched(l.bound.Latest(now))
 	silent := l.silentAfter()
 	zones := map[string]*hearing{}
 	var all hearing
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -11,6 +11,7 @@
 	"firwood.dev/firwood/internal/peer"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/internal/state"
+	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
@@ -298,6 +299,16 @@
 	}
 	now := clock.Now()
 	c.beats[b.Member] = &beatSeen{beat: b, at: now}
+	if s := c.stamps[b.Member]; b.Life > s.Life || b.Life == s.Life && b.Stamp > s.At {
+		c.stamps[b.Member] = vouch.Stamp{Life: b.Life, At: b.Stamp}
+	}
+	echo := vouch.Stamp{Life: b.EchoLife, At: b.EchoStamp}
+	if b.Leader == b.Member && c.lead == nil {
+		c.voucher.Hear(now, b.Token, echo)
+	}
+	if c.lead != nil && c.voucher.Mine(echo) {
+		c.lead.bound.Answered(b.Member, now, echo.At, b.QuietFor)
+	}
 	if b.Leader == b.Member && c.el.Phase() != election.Leader {
 		if _, token := c.el.Holder(); b.Token >= token {
 			clear(c.counts)
@@ -345,6 +356,11 @@
 			delete(c.workers, m)
 		}
 	}
+	for m, at := range c.sentOn {
+		if now-at > clock.FromSeconds(c.cfg.Deployment.Workers.LeaseS) {
+			delete(c.sentOn, m)
+		}
+	}
 	b.Workers = uint32(len(c.workers))
 	if c.lead != nil {
 		b.Leader, b.Token = c.cfg.Member, c.lead.token
@@ -354,18 +370,66 @@
 			}
 		}
 	}
-	frame := peer.Encode(b)
-	for _, l := range c.links {
-		l.Send(frame)
+	s := c.voucher.Stamp(now)
+	b.Life, b.Stamp, b.QuietFor = s.Life, s.At, c.voucher.QuietFor(now)
+	for i, l := range c.links {
+		echo := c.stamps[c.cfg.Others[i].Member]
+		if c.lead != nil {
+			echo = c.lead.echoes[c.cfg.Others[i].Member]
+		}
+		b.EchoLife, b.EchoStamp = echo.Life, echo.At
+		l.Send(peer.Encode(b))
+	}
+	if c.lead != nil {
+		c.lead.confirm(now)
 	}
 }
 
+// vouchFor keeps the lease of a worker alive that cannot reach the leader any
+// more than this member can. It is held here for one report at a time: it is
+// sent on first, and answered only when it has come back, so a worker that does
+// reach the leader is never kept from it.
+func (c *Core) vouchFor(rep *wire.Report, r *server.Reply) bool {
+	now := clock.Now()
+	if c.lead != nil {
+		c.voucher.Led(c.lead.token, c.lead.knewAt)
+	}
+	token, until, ok := c.voucher.May(now, rep.Token)
+	if _, newest := c.el.Holder(); !ok || newest > token {
+		return false
+	}
+	at, sent := c.sentOn[rep.Machine]
+	if !sent || now-at > clock.FromSeconds(c.cfg.Deployment.Workers.LeaseS) {
+		c.sentOn[rep.Machine] = now
+		return false
+	}
+	delete(c.sentOn, rep.Machine)
+	body, err := wire.Reply{Token: token, Commands: []wire.Command{}}.MarshalJSON()
+	if err != nil {
+		return false
+	}
+	// The answer goes out soon, or not at all.
+	until = min(until, now+clock.Second)
+	c.voucher.Vouched(until)
+	if c.lead != nil {
+		// It may yet renew its lock and go on, and must then count with this.
+		if m := c.lead.lg.Machines[rep.Machine]; m != nil {
+			c.lead.lg.HeardBy(m, until)
+		}
+	}
+	r.SendUntil(200, body, 0, until)
+	return true
+}
+
 func (c *Core) checkin(rep *wire.Report, r *server.Reply) {
 	c.workers[rep.Machine] = clock.Now()
 	if c.lead != nil && c.entitled() {
 		c.lead.checkin(rep, r)
 		return
 	}
+	if c.vouchFor(rep, r) {
+		return
+	}
 	e := wire.Elsewhere{}
 	if l := c.leader(); l != c.cfg.Member {
 		e.ReportTo = l
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -331,7 +331,8 @@
 	counter  uint64
 	open     int // machines not accounted for
 	settled  bool
-	reports  uint64 // counts those taken, to mark what each listed
+	vouched  clock.Micros // others may have answered workers until then
+	reports  uint64       // counts those taken, to mark what each listed
 	byName   []*Machine
 	outbox   []*Machine // machines that something may have to be sent to
 
@@ -1158,10 +1159,15 @@
 	}
 }
 
+// Vouched takes until when other controllers may have answered workers in this
+// leader's name or an earlier one's, as far as can be known now. No lease ends
+// sooner than one that was renewed then.
+func (l *Ledger) Vouched(until clock.Micros) { l.vouched = until }
+
 // LeaseEnd is when the machine's lease has provably run out, if nothing is
 // answered to it any more. The slack covers drift of both clocks.
 func (l *Ledger) LeaseEnd(m *Machine) clock.Micros {
-	return m.granted + l.cfg.Lease + l.cfg.Lease/500 + clock.Second
+	return max(m.granted, l.vouched) + l.cfg.Lease + l.cfg.Lease/500 + clock.Second
 }
 
 // Expire ends what was on a machine whose lease has run out. The machine has
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -62,6 +62,7 @@
 	held    []heldDirect
 	limit   int64
 	starts  int
+	vouch   clock.Micros // others may answer workers until then
 }
 
 func (w *world) fatal(format string, args ...any) {
@@ -298,6 +299,9 @@
 			w.lg.Withdraw(j, w.now)
 		}
 	}
+	// Somebody may still hold a right of the leader before.
+	w.vouch = w.now + 20*clock.Second
+	w.lg.Vouched(w.vouch)
 	w.lg.Settle()
 }
 
@@ -402,6 +406,20 @@
 				}
 				w.makeDurable()
 			},
+			"vouch": func() {
+				// Another controller keeps a lease alive, in this leader's name or
+				// an earlier one's.
+				if w.rng.IntN(4) == 0 {
+					w.vouch = w.now + 20*clock.Second
+					w.lg.Vouched(w.vouch)
+				}
+				if k := worker(); !k.gone && !k.hung && w.now < w.vouch {
+					w.expire(k)
+					w.report(k)
+					k.hasAnswer = false
+					k.leaseFrom = w.now
+				}
+			},
 			"outbox": func() {
 				// What has nothing due goes off the list; it must come back.
 				w.lg.Outbox(func(m *Machine) bool { return w.rng.IntN(2) == 0 || due(m) })
--- a/internal/peer/fb/Beat.go
+++ b/internal/peer/fb/Beat.go
@@ -105,8 +105,68 @@
 	return 0
 }
 
+func (rcv *Beat) Life() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Beat) MutateLife(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(16, n)
+}
+
+func (rcv *Beat) Stamp() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Beat) MutateStamp(n int64) bool {
+	return rcv._tab.MutateInt64Slot(18, n)
+}
+
+func (rcv *Beat) EchoLife() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Beat) MutateEchoLife(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(20, n)
+}
+
+func (rcv *Beat) EchoStamp() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Beat) MutateEchoStamp(n int64) bool {
+	return rcv._tab.MutateInt64Slot(22, n)
+}
+
+func (rcv *Beat) QuietFor() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Beat) MutateQuietFor(n int64) bool {
+	return rcv._tab.MutateInt64Slot(24, n)
+}
+
 func BeatStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(11)
 }
 func BeatAddMember(builder *flatbuffers.Builder, member flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(member), 0)
@@ -129,6 +189,21 @@
 func BeatStartCountsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func BeatAddLife(builder *flatbuffers.Builder, life uint64) {
+	builder.PrependUint64Slot(6, life, 0)
+}
+func BeatAddStamp(builder *flatbuffers.Builder, stamp int64) {
+	builder.PrependInt64Slot(7, stamp, 0)
+}
+func BeatAddEchoLife(builder *flatbuffers.Builder, echoLife uint64) {
+	builder.PrependUint64Slot(8, echoLife, 0)
+}
+func BeatAddEchoStamp(builder *flatbuffers.Builder, echoStamp int64) {
+	builder.PrependInt64Slot(9, echoStamp, 0)
+}
+func BeatAddQuietFor(builder *flatbuffers.Builder, quietFor int64) {
+	builder.PrependInt64Slot(10, quietFor, 0)
+}
 func BeatEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,6 +1,7 @@
 // Package peer owns the links between controllers: one-way beats in
-// FlatBuffers over TCP. A beat is advice only. Nothing that a rule rests on is
-// learnt from one, so a lost, late, repeated or forged beat costs time at most.
+// FlatBuffers over TCP. Beats may be lost, late or repeated: what is learnt from
+// them is advice, but for the stamps and their echoes, which package vouch
+// explains.
 package peer
 
 import (
@@ -39,6 +40,14 @@
 	Token   uint64
 	Workers uint32
 	Counts  []Count
+
+	// Life and Stamp are the speaker's, EchoLife and EchoStamp a stamp of the
+	// receiver's that it echoes; see package vouch.
+	Life      uint64
+	Stamp     clock.Micros
+	EchoLife  uint64
+	EchoStamp clock.Micros
+	QuietFor  clock.Micros
 }
 
 // Encode makes the frame of a beat.
@@ -70,6 +79,11 @@
 	fb.BeatAddToken(fbb, b.Token)
 	fb.BeatAddWorkers(fbb, b.Workers)
 	fb.BeatAddCounts(fbb, vec)
+	fb.BeatAddLife(fbb, b.Life)
+	fb.BeatAddStamp(fbb, int64(b.Stamp))
+	fb.BeatAddEchoLife(fbb, b.EchoLife)
+	fb.BeatAddEchoStamp(fbb, int64(b.EchoStamp))
+	fb.BeatAddQuietFor(fbb, int64(b.QuietFor))
 	fbb.FinishSizePrefixed(fb.BeatEnd(fbb))
 	return fbb.FinishedBytes()
 }
@@ -92,6 +106,8 @@
 	b = &Beat{
 		Member: string(r.Member()), Served: r.Served(), Leader: string(r.Leader()),
 		Token: r.Token(), Workers: r.Workers(),
+		Life: r.Life(), Stamp: clock.Micros(r.Stamp()), EchoLife: r.EchoLife(), EchoStamp: clock.Micros(r.EchoStamp()),
+		QuietFor: clock.Micros(r.QuietFor()),
 	}
 	n := r.CountsLength()
 	if n > maxCounts || b.Member == "" {
--- /dev/null
+++ b/internal/vouch/vouch.go
@@ -0,0 +1,183 @@
+// Package vouch lets a controller that is cut off together with workers keep
+// their leases alive for a bounded while, in the name of a leader that neither
+// it nor they can reach. It is pure: time and beats come in, rights go out.
+//
+// What must hold: a leader that takes a machine's lease for over is right about
+// it. A follower's right runs from a stamp of its own clock that a leader has
+// echoed, so a beat that comes late extends nothing. The leader knows when it
+// echoed what, and a new leader knows that no right of an earlier one ends later
+// than its own beginning plus the time of a right.
+//
+// A right gives no commands and starts nothing. It also ends early enough for
+// withdrawals: see Config.
+package vouch
+
+import "firwood.dev/firwood/internal/clock"
+
+// Config holds the times.
+type Config struct {
+	// For is how long a right lasts from its stamp on; 0: there are none.
+	For clock.Micros
+	// Gap is how long a follower has not heard the leader before it vouches.
+	Gap clock.Micros
+	// Settle is how long after a withdrawal the job's tasks may still be about
+	// while the leader echoes stamps. What is told at a stamp plus For may live
+	// for a lease more: Settle, For and the lease together are less than what a
+	// cancellation has.
+	Settle clock.Micros
+}
+
+// Times works out the times from those of the workers.
+func Times(cancel, lease, gap clock.Micros) Config {
+	c := Config{Gap: gap, Settle: (cancel - lease) / 5}
+	c.For = cancel - lease - c.Settle - slack(cancel) - clock.Second
+	if c.For <= gap {
+		c.For = 0 // too short to be of use
+	}
+	return c
+}
+
+// slack covers the drift of two clocks over a time.
+func slack(d clock.Micros) clock.Micros { return d / 500 }
+
+// Stamp is an instant of a member's steady clock, in one of its lives.
+type Stamp struct {
+	Life uint64
+	At   clock.Micros
+}
+
+// Voucher is a follower's side.
+type Voucher struct {
+	cfg   Config
+	life  uint64
+	born  clock.Micros
+	token uint64
+	until clock.Micros
+	heard clock.Micros
+	last  clock.Micros // when it last vouched
+}
+
+// NewVoucher makes a member's side; life has to differ from that of any other
+// life of the member.
+func NewVoucher(cfg Config, life uint64, now clock.Micros) *Voucher {
+	return &Voucher{cfg: cfg, life: life, born: now}
+}
+
+// Stamp is what the member sends to be echoed.
+func (v *Voucher) Stamp(now clock.Micros) Stamp { return Stamp{v.life, now} }
+
+// Mine tells whether a stamp is of this life.
+func (v *Voucher) Mine(s Stamp) bool { return s.Life == v.life && s.At > 0 }
+
+// Hear takes a beat of a leader, with the member's own stamp that it echoes.
+func (v *Voucher) Hear(now clock.Micros, token uint64, echo Stamp) {
+	if token < v.token {
+		return
+	}
+	if token > v.token {
+		v.token, v.until = token, 0
+	}
+	v.heard = now
+	if v.Mine(echo) && echo.At <= now && v.cfg.For > 0 {
+		v.until = max(v.until, echo.At+v.cfg.For)
+	}
+}
+
+// Led is told by a leader whose entitlement is over, if only for now: it knew
+// all that was withdrawn before `from`, when it was still entitled.
+func (v *Voucher) Led(token uint64, from clock.Micros) {
+	if token < v.token || v.cfg.For == 0 || from == 0 {
+		return
+	}
+	if token > v.token {
+		v.until = 0
+	}
+	v.token, v.heard, v.until = token, 0, max(v.until, from+v.cfg.For)
+}
+
+// May tells whether the member may answer a worker that has seen a token, under
+// which token, and until when.
+func (v *Voucher) May(now clock.Micros, seen uint64) (token uint64, until clock.Micros, ok bool) {
+	if v.token == 0 || seen > v.token || now >= v.until || now-v.heard < v.cfg.Gap {
+		return 0, 0, false
+	}
+	return v.token, v.until, true
+}
+
+// Vouched notes an answer that may go out until then.
+func (v *Voucher) Vouched(until clock.Micros) { v.last = max(v.last, until) }
+
+// QuietFor is for how long the member has certainly not vouched, earlier lives
+// left out, and how long this life is at most.
+func (v *Voucher) QuietFor(now clock.Micros) clock.Micros {
+	if v.last == 0 {
+		return now - v.born
+	}
+	return max(now-v.last, 0)
+}
+
+// Bound is a leader's side: until when others may have vouched.
+type Bound struct {
+	cfg     Config
+	since   clock.Micros
+	members map[string]*member
+}
+
+type member struct {
+	right clock.Micros // the end of its right
+	sure  clock.Micros // the latest own stamp that it is known to have received
+	quiet clock.Micros // nothing was vouched between this and sure
+}
+
+// NewBound makes the side of a leader that begins now. Rights that earlier
+// leaders gave, or keep for themselves, began before that.
+func NewBound(cfg Config, now clock.Micros, others []string) *Bound {
+	b := &Bound{cfg: cfg, since: now, members: map[string]*member{}}
+	for _, m := range others {
+		b.members[m] = &member{right: b.end(now)}
+	}
+	return b
+}
+
+func (b *Bound) end(from clock.Micros) clock.Micros {
+	if b.cfg.For == 0 {
+		return 0
+	}
+	return from + b.cfg.For + slack(b.cfg.For)
+}
+
+// Echoed notes that a stamp of a member, which came before `at`, is echoed from
+// now on.
+func (b *Bound) Echoed(name string, at clock.Micros) {
+	if m := b.members[name]; m != nil {
+		m.right = max(m.right, b.end(at))
+	}
+}
+
+// Answered takes a member's word that it has received the beat of this leader
+// stamped so, and for how long it had not vouched when it said that.
+func (b *Bound) Answered(name string, now, stamp, quietFor clock.Micros) {
+	m := b.members[name]
+	if m == nil || stamp < b.since || stamp > now || quietFor < 0 {
+		return
+	}
+	if stamp >= m.sure {
+		m.sure = stamp
+		m.quiet = max(m.quiet, now-quietFor+slack(quietFor))
+	}
+}
+
+// Latest is the last instant at which another member may have vouched for a
+// worker, as far as can be known now.
+func (b *Bound) Latest(now clock.Micros) clock.Micros {
+	latest := b.since // it may have vouched itself until then
+	for _, m := range b.members {
+		latest = max(latest, m.quiet)
+		// It has heard this leader after `sure`, and vouches for nobody for a
+		// while after that.
+		if m.sure == 0 || now >= m.sure+b.cfg.Gap-slack(b.cfg.Gap) {
+			latest = max(latest, m.right)
+		}
+	}
+	return latest
+}
