--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -403,7 +403,11 @@
 		c.sentOn[rep.Machine] = now
 		return false
 	}
-	delete(c.sentOn, rep.Machine)
+	// It comes back here every time, and while it is on its way its lease is not
+	// renewed: shortly before the right ends it is kept.
+	if w := &c.cfg.Deployment.Workers; until-now > clock.FromSeconds(2*w.ReportS)+4*clock.Second {
+		delete(c.sentOn, rep.Machine)
+	}
 	body, err := wire.Reply{Token: token, Commands: []wire.Command{}}.MarshalJSON()
 	if err != nil {
 		return false
--- a/internal/vouch/vouch.go
+++ b/internal/vouch/vouch.go
@@ -29,7 +29,7 @@
 
 // Times works out the times from those of the workers.
 func Times(cancel, lease, gap clock.Micros) Config {
-	c := Config{Gap: gap, Settle: (cancel - lease) / 5}
+	c := Config{Gap: gap, Settle: (cancel - lease) / 10}
 	c.For = cancel - lease - c.Settle - slack(cancel) - clock.Second
 	if c.For <= gap {
 		c.For = 0 // too short to be of use
