--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -605,7 +605,8 @@
 		return
 	}
 	a.writing = true
-	w := &state.Write{Rank: state.Spare, Then: []wire.Change{{Put: prefixJob + id, Value: v}}}
+	// As long as the record is whole, a new leader has to reckon with its tasks.
+	w := &state.Write{Rank: state.Needed, Then: []wire.Change{{Put: prefixJob + id, Value: v}}}
 	for ch := 0; ch < a.chunks; ch++ {
 		w.Then = append(w.Then, wire.Change{Delete: doneKey(id, ch)})
 	}
--- a/internal/vouch/vouch.go
+++ b/internal/vouch/vouch.go
@@ -74,9 +74,9 @@
 	if token < v.token {
 		return
 	}
-	if token > v.token {
-		v.token, v.until = token, 0
-	}
+	// A right outlives the leader that gave it: the new one counts with that,
+	// and it is used under the new one's token.
+	v.token = token
 	v.heard = now
 	if v.Mine(echo) && echo.At <= now && v.cfg.For > 0 {
 		v.until = max(v.until, echo.At+v.cfg.For)
@@ -89,9 +89,6 @@
 	if token < v.token || v.cfg.For == 0 || from == 0 {
 		return
 	}
-	if token > v.token {
-		v.until = 0
-	}
 	v.token, v.heard, v.until = token, 0, max(v.until, from+v.cfg.For)
 }
 
