A machine that cannot be told gets no work; jobs of which nothing starts age; rights where they help

Reports of a machine may arrive while answers and commands do not reach it: after a direct message without answer it gets nothing new until it answers one, and it is asked every two seconds. One that is not heard gets nothing either.

Smallest first would have the largest wait under overload: a job of which nothing has started for 90 s goes first in its rank. Tests over generated loads, reports and histories; each fails without its guard.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -134,6 +134,9 @@
 	// How long a job that may use spot machines waits for one before an
 	// ordinary machine is rented for it, in seconds.
 	SpotPatienceS float64 `yaml:"spot_patience_s"`
+	// After how long a job of which nothing has started goes first within its
+	// rank, in seconds.
+	AgeAfterS float64 `yaml:"age_after_s"`
 }
 
 // DefaultTuning holds the named defaults.
@@ -144,7 +147,7 @@
 		ScreenMinSamples: 3, ScreenMaxSamples: 1000,
 		ScreenCV: 0.45, ScreenLag: 0.65, ScreenKS: 3.75,
 		SmoothArrival: 0.2, SmoothService: 0.1, SmoothNeed: 0.1, HorizonS: 600,
-		SpotPatienceS: 40,
+		SpotPatienceS: 40, AgeAfterS: 90,
 	}
 }
 
@@ -299,6 +302,7 @@
 		{t.SmoothNeed > 0 && t.SmoothNeed <= 1, "smooth_need", "is not within (0, 1]"},
 		{positive(t.HorizonS), "horizon_s", "is not above 0"},
 		{notNegative(t.SpotPatienceS), "spot_patience_s", "is below 0"},
+		{positive(t.AgeAfterS), "age_after_s", "is not above 0"},
 	} {
 		if !c.ok {
 			return t, fmt.Errorf("%s: %s", c.field, c.want)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -92,7 +92,9 @@
 		stamps:     map[string]vouch.Stamp{},
 	}
 	w := &d.Workers
-	c.times = vouch.Times(clock.FromSeconds(w.CancelS), clock.FromSeconds(w.LeaseS), 3*beatEvery)
+	// A worker tries each other node for four seconds, and waits one before.
+	trip := clock.FromSeconds(1.25*w.ReportS) + clock.Second/2 + clock.Micros(len(cfg.Others))*5*clock.Second
+	c.times = vouch.Times(clock.FromSeconds(w.CancelS), clock.FromSeconds(w.LeaseS), 3*beatEvery, trip)
 	c.voucher = vouch.NewVoucher(c.times, uint64(clock.Wall()), clock.Now())
 	for _, t := range d.Teams {
 		g := ledger.FromAmounts(t.CPUs, t.GPUs, 0)
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -116,7 +116,7 @@
 		SpareMin: t.SpareMin, SpareMax: t.SpareMax,
 		MinSamples: t.ScreenMinSamples, MaxCount: t.ScreenMaxSamples, CV: t.ScreenCV, Lag: t.ScreenLag, KS: t.ScreenKS,
 		SmoothArrival: t.SmoothArrival, SmoothService: t.SmoothService, SmoothNeed: t.SmoothNeed,
-		Horizon: clock.FromSeconds(t.HorizonS), SpotPatience: clock.FromSeconds(t.SpotPatienceS),
+		Horizon: clock.FromSeconds(t.HorizonS), SpotPatience: clock.FromSeconds(t.SpotPatienceS), AgeAfter: clock.FromSeconds(t.AgeAfterS),
 	}, c.types, c.teams, d.Zones)
 	l.pl.Fresh, l.pl.Since = l.freshFor(), now
 	l.pl.Waits, l.pl.Due = map[string]float64{}, map[string]float64{}
@@ -1098,7 +1098,7 @@
 		}
 		body, err := msg.MarshalJSON()
 		if err != nil {
-			l.lg.DirectEnded(m, starts, ledger.NotSent)
+			l.lg.DirectEnded(m, starts, ledger.NotSent, now)
 			return false
 		}
 		if a.host == nil {
@@ -1142,7 +1142,7 @@
 	if l.lg.Machines[m.Name] != m {
 		return
 	}
-	l.lg.DirectEnded(m, starts, result)
+	l.lg.DirectEnded(m, starts, result, now)
 	if result != ledger.Executed {
 		// The way to this worker is bad; its reports' answers will do.
 		a.notUntil = now + 2*clock.Second
--- a/internal/core/lead_test.go
+++ b/internal/core/lead_test.go
@@ -7,6 +7,8 @@
 
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/config"
+	"firwood.dev/firwood/internal/server"
+	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
@@ -41,7 +43,7 @@
 	d := &cfg.Deployment
 	d.Zones = []string{"x", "y"}
 	d.Teams = []config.Team{{Name: "t"}}
-	d.Workers = config.Workers{ReportS: 2, LeaseS: 20, GangWaitS: 30, GangPeerS: 5, CancelS: 60}
+	d.Workers = config.Workers{ReportS: 2, LeaseS: 24, GangWaitS: 30, GangPeerS: 5, CancelS: 60}
 	d.State = config.State{RPS: 100, WriteRPS: 100, ValueKB: 16, TxnOps: 16}
 	d.Cloud = config.Cloud{RPS: 10, ListLagS: 1}
 	d.Limits = config.Limits{Cores: 1, RAMMB: 100, MaxSockets: 1000}
@@ -67,3 +69,32 @@
 		t.Fatalf("deleted %v, only i-2 has never come up", l.deletes)
 	}
 }
+
+// A follower that hears neither leader nor state service keeps a worker's lease
+// alive only when the worker was sent on and has come back, each time anew, and
+// not at all while the leader is heard: a worker that reaches the leader is
+// never held.
+func TestVouchingSendsOnFirst(t *testing.T) {
+	l := rebuilt(t)
+	c := l.c
+	c.lead = nil
+	now, back := 100*clock.Second, 5*clock.Second
+	rep := &wire.Report{Machine: "i-1", Token: 5}
+	c.voucher = vouch.NewVoucher(c.times, 1, now-60*clock.Second)
+	if c.vouchFor(rep, &server.Reply{}, now) || c.vouchFor(rep, &server.Reply{}, now) {
+		t.Fatal("vouches without a right")
+	}
+	c.voucher.Hear(now-back, 5, c.voucher.Stamp(now-back))
+	for i, want := range []bool{false, true, false, true} {
+		if got := c.vouchFor(rep, &server.Reply{}, now); got != want {
+			t.Fatalf("report %d: vouched %v", i, got)
+		}
+	}
+	if c.vouchFor(&wire.Report{Machine: "i-1", Token: 6}, &server.Reply{}, now) {
+		t.Fatal("vouches against a newer leader")
+	}
+	c.voucher.Hear(now, 5, c.voucher.Stamp(now))
+	if c.vouchFor(rep, &server.Reply{}, now) || c.vouchFor(rep, &server.Reply{}, now) {
+		t.Fatal("holds a worker while the leader is heard")
+	}
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -389,8 +389,7 @@
 // more than this member can. It is held here for one report at a time: it is
 // sent on first, and answered only when it has come back, so a worker that does
 // reach the leader is never kept from it.
-func (c *Core) vouchFor(rep *wire.Report, r *server.Reply) bool {
-	now := clock.Now()
+func (c *Core) vouchFor(rep *wire.Report, r *server.Reply, now clock.Micros) bool {
 	if c.lead != nil {
 		c.voucher.Led(c.lead.token, c.lead.knewAt)
 	}
@@ -431,7 +430,7 @@
 		c.lead.checkin(rep, r)
 		return
 	}
-	if c.vouchFor(rep, r) {
+	if c.vouchFor(rep, r, clock.Now()) {
 		return
 	}
 	e := wire.Elsewhere{}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -150,6 +150,15 @@
 // Doubts is the number of tasks in doubt.
 func (j *Job) Doubts() int { return j.doubts }
 
+// Places calls f for every task's placement, strays left out.
+func (j *Job) Places(f func(*Placement)) {
+	for i := range j.Tasks {
+		if p := j.Tasks[i].Place; p != nil {
+			f(p)
+		}
+	}
+}
+
 // Complete tells whether every task is done.
 func (j *Job) Complete() bool { return j.done == len(j.Tasks) }
 
@@ -250,6 +259,9 @@
 	Since  clock.Micros // when this leader learnt of it
 	UpAt   clock.Micros // when it was first heard
 	IdleAt clock.Micros // since when it has nothing to do
+	// DeafUntil: a direct message got no answer lately, so until then it is not
+	// known that the worker can be told anything, though it may be heard.
+	DeafUntil clock.Micros
 	// FaultyJobs counts the jobs that failed on it.
 	FaultyJobs map[string]bool
 
@@ -896,6 +908,9 @@
 	if p.stop {
 		l.toSend(m)
 	}
+	if p.Phase == Sent && p.directOut == 0 && !p.late {
+		m.DeafUntil = 0 // a start in an answer has reached it
+	}
 	p.Phase = Present
 	p.State = t.State
 	if p.Started == 0 && (t.State == wire.TaskRunning || t.State == wire.TaskWaiting) {
@@ -1085,7 +1100,7 @@
 }
 
 // Direct compiles a message to be sent straight to the worker: starts not yet
-// sent, and stops. One message to a worker is out at a time.
+// sent, and stops; an empty one if it is not known whether it can be told. One message to a worker is out at a time.
 func (l *Ledger) Direct(m *Machine, now clock.Micros) (*wire.Direct, []*Placement) {
 	if m.directs || !m.Synced || m.Addr == "" {
 		return nil, nil
@@ -1102,9 +1117,10 @@
 			starts = append(starts, p)
 		}
 	}
-	if len(cmds) == 0 {
+	if len(cmds) == 0 && now >= m.DeafUntil {
 		return nil, nil
 	}
+	// With nothing to say to a worker that may be deaf, an empty message asks.
 	m.directs = true
 	return &wire.Direct{Token: l.cfg.Token, Session: m.Session, Commands: cmds}, starts
 }
@@ -1125,8 +1141,15 @@
 
 // DirectEnded takes the end of a direct message; a report that came with it
 // has to be given to Report afterwards.
-func (l *Ledger) DirectEnded(m *Machine, starts []*Placement, r DirectResult) {
+func (l *Ledger) DirectEnded(m *Machine, starts []*Placement, r DirectResult, now clock.Micros) {
 	m.directs = false
+	switch r {
+	case Executed:
+		m.DeafUntil = 0
+	case Lost:
+		// If it hears nothing at all, its lease and its session end by then.
+		m.DeafUntil = now + l.cfg.Lease
+	}
 	l.toSend(m)
 	for _, p := range starts {
 		if m.places[p.id] != p {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -62,6 +62,7 @@
 	held    []heldDirect
 	limit   int64
 	starts  int
+	copies  []*wire.Report
 	vouch   clock.Micros // others may answer workers until then
 }
 
@@ -229,7 +230,7 @@
 	if ok {
 		res = Executed
 	}
-	w.lg.DirectEnded(h.m, h.starts, res)
+	w.lg.DirectEnded(h.m, h.starts, res, w.now)
 	if w.lg.Machines[k.name] == h.m {
 		w.lg.DirectReport(h.m, rep, w.now)
 	}
@@ -248,6 +249,9 @@
 	if fate == 0 || m == nil {
 		return
 	}
+	if w.rng.IntN(4) == 0 {
+		w.copies = append(w.copies, rep)
+	}
 	w.lg.HeardBy(m, w.now)
 	if res := w.lg.Report(m, rep, w.now); res == Deposed {
 		w.fatal("deposed by %d under %d", rep.Token, w.token)
@@ -396,9 +400,9 @@
 				h := heldDirect{k, msg, w.lg, m, starts}
 				switch w.rng.IntN(4) {
 				case 0: // never leaves
-					w.lg.DirectEnded(m, starts, NotSent)
+					w.lg.DirectEnded(m, starts, NotSent, w.now)
 				case 1: // held back, given up, perhaps delivered later
-					w.lg.DirectEnded(m, starts, Lost)
+					w.lg.DirectEnded(m, starts, Lost, w.now)
 					h.m = nil
 					w.held = append(w.held, h)
 				default:
@@ -424,6 +428,19 @@
 				// What has nothing due goes off the list; it must come back.
 				w.lg.Outbox(func(m *Machine) bool { return w.rng.IntN(2) == 0 || due(m) })
 			},
+			"copy": func() {
+				// A copy of a report comes late, perhaps to another leader.
+				if len(w.copies) == 0 {
+					return
+				}
+				r := w.copies[w.rng.IntN(len(w.copies))]
+				if m := w.lg.Machines[r.Machine]; m != nil && r.Token <= w.token {
+					w.lg.HeardBy(m, w.now)
+					w.lg.Report(m, r, w.now)
+					w.makeDurable()
+					w.lg.Orders(m, w.now) // nobody waits for the answer any more
+				}
+			},
 			"late": func() {
 				if len(w.held) == 0 {
 					return
@@ -547,7 +564,7 @@
 	if msg == nil || len(starts) != 1 {
 		t.Fatal("no direct start")
 	}
-	l.DirectEnded(m, starts, Lost)
+	l.DirectEnded(m, starts, Lost, 2)
 	attempt := msg.Commands[0].Attempt
 	l.Report(m, reportOf(m, 1, 2, 7, wire.TaskReport{Task: "req-000001/0", Attempt: attempt, State: wire.TaskExited, Why: wire.WhyError}), 3)
 	for _, c := range l.Orders(m, 3) {
@@ -592,7 +609,7 @@
 		t.Fatal(err)
 	}
 	_, starts := l.Direct(m, 2)
-	l.DirectEnded(m, starts, Lost)
+	l.DirectEnded(m, starts, Lost, 2)
 	l.Withdraw(j, 3)
 	l.Report(m, reportOf(m, 1, 2, 7), 4)
 	c := l.Orders(m, 4)
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -15,7 +15,6 @@
 // arrays and services waiting.
 func fleet(n int, filled float64, waiting int) *scene {
 	s := newScene(map[string]ledger.Team{"a": {}, "b": {}})
-	s.pl.Fresh = 60 * clock.Second
 	rng := rand.New(rand.NewPCG(uint64(n), 8))
 	var ms []*ledger.Machine
 	for i := 0; i < n; i++ {
--- a/internal/planner/model.go
+++ b/internal/planner/model.go
@@ -33,6 +33,9 @@
 	// SpotPatience is how long a job that may use spot machines waits for one
 	// before an ordinary machine is rented for it.
 	SpotPatience clock.Micros
+	// AgeAfter is how long a job waits for its first start before it goes first
+	// within its rank; 0: never.
+	AgeAfter clock.Micros
 }
 
 // sample is an observation with its time.
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -101,13 +101,19 @@
 	for _, m := range r.machines {
 		v := r.view(Pool{m.Type, m.Zone, m.Spot})
 		v.count++
-		if len(q) > 0 && m.Usable() && r.least.Fits(m.Free()) {
+		if len(q) > 0 && r.usable(m) && r.least.Fits(m.Free()) {
 			v.open = append(v.open, m)
 		}
 	}
 	return r
 }
 
+// usable tells whether a machine may get tasks now: it is heard, and nothing
+// speaks against its being told.
+func (r *round) usable(m *ledger.Machine) bool {
+	return m.Usable() && r.now >= m.DeafUntil && r.now-max(m.Heard, r.pl.Since) <= r.pl.Fresh
+}
+
 // sized returns n zeroed elements, in the given memory if that is enough.
 func sized[T any](s []T, n int) []T {
 	if cap(s) < n {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -16,6 +16,7 @@
 		Alpha: 50, Beta: 1, IdleWait: 60 * clock.Second, Window: 120 * clock.Second, Recency: 60 * clock.Second,
 		SpareMin: 1, SpareMax: 4, MinSamples: 3, MaxCount: 1000, CV: 0.45, Lag: 0.65, KS: 3.75,
 		SmoothArrival: 0.2, SmoothService: 0.1, SmoothNeed: 0.1, Horizon: 600 * clock.Second,
+		AgeAfter: 90 * clock.Second,
 	}
 }
 
@@ -156,6 +157,7 @@
 	}
 	s := &scene{l: ledger.New(ledger.Config{Token: 1, Lease: 30 * clock.Second, Teams: teams}), now: clock.Second, seqs: map[string]uint64{}}
 	s.pl = New(params(), types, teams, []string{"x", "y", "z"})
+	s.pl.Fresh = 3600 * clock.Second
 	s.l.Settle()
 	return s
 }
@@ -430,3 +432,57 @@
 		t.Fatal("never asked again")
 	}
 }
+
+// A machine that is heard is not by that one that can be told: while direct
+// messages to it get no answer, and once it is not heard, it gets no work; the
+// first sign that it can be told ends that.
+func TestDeafMachineGetsNoWork(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	deaf, good := s.machine("i-0", "small", "x", false), s.machine("i-1", "small", "x", false)
+	one := s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 2, CPUs: 4, EstimateS: 50})
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	if one.Active() != 2 {
+		t.Fatalf("%d tasks are placed", one.Active())
+	}
+	_, starts := s.l.Direct(deaf, s.now)
+	s.l.DirectEnded(deaf, starts, ledger.Lost, s.now)
+	report := func(m *ledger.Machine, session uint64) {
+		s.seqs[m.Name]++
+		s.l.Report(m, &wire.Report{Machine: m.Name, Session: session, Seq: s.seqs[m.Name], Token: 1, Addr: "127.0.0.1:1"}, s.now)
+	}
+	// Its lease runs out unseen by us; it reports anew, in its next session.
+	s.l.Withdraw(one, s.now)
+	s.now += 2 * clock.Second
+	report(deaf, 2)
+	two := s.job(wire.Job{ID: "req-000002", Team: "a", Tasks: 4, CPUs: 2, EstimateS: 50})
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	two.Places(func(p *ledger.Placement) {
+		if p.Machine == deaf {
+			t.Fatal("a machine that cannot be told got work")
+		}
+	})
+	msg, starts := s.l.Direct(deaf, s.now)
+	if msg == nil {
+		t.Fatal("nobody asks whether it can be told")
+	}
+	s.l.DirectEnded(deaf, starts, ledger.Executed, s.now)
+	good.Draining = true
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	n := 0
+	two.Places(func(p *ledger.Placement) {
+		if p.Machine == deaf {
+			n++
+		}
+	})
+	if n == 0 {
+		t.Fatal("it can be told again, and gets no work")
+	}
+	silent := s.machine("i-2", "small", "x", false)
+	s.pl.Fresh = 5 * clock.Second
+	s.now += 6 * clock.Second
+	s.job(wire.Job{ID: "req-000003", Team: "a", Tasks: 1, CPUs: 2, EstimateS: 50})
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	if !silent.Idle() {
+		t.Fatal("a machine that is not heard got work")
+	}
+}
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -80,7 +80,7 @@
 			lesser = lesser || j.Service() && j.Priority > 0
 		}
 		for _, m := range r.machines {
-			if m.Type == v.pool.Type && m.Zone == v.pool.Zone && m.Spot == v.pool.Spot && m.Usable() &&
+			if m.Type == v.pool.Type && m.Zone == v.pool.Zone && m.Spot == v.pool.Spot && r.usable(m) &&
 				(lesser || m.Tasks() > m.Replicas() || r.least.Fits(r.room(m))) {
 				v.soft = append(v.soft, m)
 			}
@@ -153,7 +153,7 @@
 func (r *round) preemptForGang(j *ledger.Job, mayStop func(*ledger.Placement) bool) {
 	var machines []*ledger.Machine
 	for _, m := range r.machines {
-		if m.Usable() && ledger.Allowed(j, m) {
+		if r.usable(m) && ledger.Allowed(j, m) {
 			machines = append(machines, m)
 		}
 	}
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -12,6 +12,7 @@
 type entry struct {
 	job   *ledger.Job
 	owed  bool
+	aged  bool // waits long, and nothing of it has started
 	tight bool // can still be in time, if it starts soon
 	ahead bool // its tasks are not known to be gone yet
 	need  int
@@ -62,6 +63,9 @@
 		e := &entry{job: j, owed: owed[j], need: 1, run: pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)}
 		e.tight = pl.tight(j, e.run, wall)
 		e.late = pl.lateness(j, e.run, wall)
+		// Smallest first alone would have the largest wait as long as small ones
+		// come. Once something of it has started it has no claim any more.
+		e.aged = pl.P.AgeAfter > 0 && wall-j.Submitted >= pl.P.AgeAfter && j.Active() == 0 && j.DoneCount() == 0
 		if j.Gang() {
 			e.need = pl.Machines(j)
 			// A gang starts whole, or waits.
@@ -95,6 +99,7 @@
 	slices.SortFunc(q, func(a, b *entry) int {
 		return cmp.Or(
 			cmp.Compare(a.job.Priority, b.job.Priority),
+			-cmp.Compare(btoi(a.aged), btoi(b.aged)),
 			-cmp.Compare(btoi(a.owed), btoi(b.owed)),
 			-cmp.Compare(btoi(a.tight), btoi(b.tight)),
 			cmp.Compare(a.late, b.late),
--- a/internal/vouch/vouch.go
+++ b/internal/vouch/vouch.go
@@ -27,11 +27,13 @@
 	Settle clock.Micros
 }
 
-// Times works out the times from those of the workers.
-func Times(cancel, lease, gap clock.Micros) Config {
+// Times works out the times from those of the workers; trip is how long a worker
+// that is sent on to a leader out of reach takes to come back. It has to be back
+// well before its lease ends, or rights would only put off the proof that it has.
+func Times(cancel, lease, gap, trip clock.Micros) Config {
 	c := Config{Gap: gap, Settle: (cancel - lease) / 10}
 	c.For = cancel - lease - c.Settle - slack(cancel) - clock.Second
-	if c.For <= gap {
+	if c.For <= gap || lease < trip+trip/2 {
 		c.For = 0 // too short to be of use
 	}
 	return c
--- a/internal/vouch/vouch_test.go
+++ b/internal/vouch/vouch_test.go
@@ -159,13 +159,16 @@
 // A right lasts from the follower's own stamp on, not from the beat that brings
 // it, and it is used only when the leader is not heard.
 func TestRight(t *testing.T) {
-	cfg := Times(66*clock.Second, 36*clock.Second, 3*clock.Second)
+	cfg := Times(66*clock.Second, 36*clock.Second, 3*clock.Second, 18*clock.Second)
 	if cfg.For+cfg.Settle+36*clock.Second >= 66*clock.Second || cfg.For < 20*clock.Second {
 		t.Fatalf("%+v", cfg)
 	}
-	if c := Times(30*clock.Second, 28*clock.Second, 3*clock.Second); c.For != 0 {
+	if c := Times(30*clock.Second, 28*clock.Second, 3*clock.Second, 9*clock.Second); c.For != 0 {
 		t.Fatalf("a right where a cancellation leaves no time: %+v", c)
 	}
+	if c := Times(44*clock.Second, 14*clock.Second, 3*clock.Second, 13*clock.Second); c.For != 0 {
+		t.Fatalf("a right where no worker is back in time: %+v", c)
+	}
 	v := NewVoucher(cfg, 1, clock.Second)
 	s := v.Stamp(10 * clock.Second)
 	v.Hear(25*clock.Second, 5, s) // fifteen seconds late
