--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -104,7 +104,7 @@
 			-cmp.Compare(btoi(a.tight), btoi(b.tight)),
 			cmp.Compare(a.late, b.late),
 			cmp.Compare(a.need, b.need),
-			cmp.Compare(a.rest, b.rest),
+			cmp.Compare(a.run, b.run),
 			cmp.Compare(a.job.Submitted, b.job.Submitted),
 			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
 	})
