--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -94,6 +94,7 @@
 			e.rest *= float64(len(e.tasks))
 		}
 		e.pressed = pl.pressed(e, wall)
+		e.tight = e.tight || e.pressed
 		q = append(q, e)
 	}
 	slices.SortFunc(q, func(a, b *entry) int {
@@ -104,7 +105,7 @@
 			-cmp.Compare(btoi(a.tight), btoi(b.tight)),
 			cmp.Compare(a.late, b.late),
 			cmp.Compare(a.need, b.need),
-			cmp.Compare(a.run, b.run),
+			cmp.Compare(a.rest, b.rest),
 			cmp.Compare(a.job.Submitted, b.job.Submitted),
 			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
 	})
