--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -322,6 +322,14 @@
 	}
 }
 
+// Delay is how long it takes until n may be used.
+func (b *Budget) Delay(n float64) clock.Micros {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(clock.Now())
+	return clock.FromSeconds((n - b.have) / b.rate)
+}
+
 // Has tells whether n may be used now.
 func (b *Budget) Has(n float64) bool {
 	b.mu.Lock()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -213,6 +213,7 @@
 		return
 	}
 	w := &state.Write{
+		Rank:     state.Vital,
 		If:       []wire.Condition{{Key: keyLock}},
 		Then:     []wire.Change{{Put: keyLock, Value: value, Lease: lease}},
 		Deadline: clock.Now() + c.ttl()/2,
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -24,6 +24,21 @@
 
 func later(r *server.Reply, why string) { r.Send(503, server.ErrorBody(why), 1) }
 
+// full refuses what the rate of writes does not allow, and says when it will.
+func (c *Core) full(r *server.Reply) {
+	wait := c.store.Delay()
+	r.Send(503, server.ErrorBody("the state service is asked for more than it takes"), int(min(wait/clock.Second+1, 30)))
+}
+
+// refused answers at once what cannot be made durable now, as far as is known.
+func (c *Core) refused(r *server.Reply) bool {
+	if c.store.Failing(clock.Now()) {
+		later(r, "the state service does not answer")
+		return true
+	}
+	return false
+}
+
 // user queues what a user asks, or refuses it at once.
 func (c *Core) user(r *server.Reply, f func()) {
 	if !c.q.post(rankUser, f) {
@@ -113,6 +128,9 @@
 		r.Send(422, server.ErrorBody("the job's description is too large"), 0)
 		return
 	}
+	if c.refused(r) {
+		return
+	}
 	c.submitting[j.ID] = []*server.Reply{r}
 	w := &state.Write{
 		If:       []wire.Condition{{Key: prefixJob + j.ID}},
@@ -121,7 +139,8 @@
 	}
 	w.Done = func(o state.Outcome, rev uint64) { c.post(func() { c.submitted(j.ID, rec, o, rev) }) }
 	if !c.store.Commit(w) {
-		c.submitted(j.ID, rec, state.Refused, 0)
+		delete(c.submitting, j.ID)
+		c.full(r)
 	}
 }
 
@@ -225,6 +244,9 @@
 		}, clock.Now()+userWait)
 		return
 	}
+	if c.refused(r) {
+		return
+	}
 	// Whether the job is still what the view says is the write's condition.
 	over := overRecord(rec, wire.JobAborted, clock.Wall())
 	value, err := over.MarshalJSON()
@@ -263,7 +285,7 @@
 		})
 	}
 	if !c.store.Commit(w) {
-		later(r, "overloaded")
+		c.full(r)
 	}
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -46,11 +46,13 @@
 )
 
 // Rank orders the writes that wait: the service takes few a second.
-type Rank uint8
+type Rank int8
 
 const (
-	// Binding: somebody waits for the answer, or the lock depends on it.
-	Binding Rank = iota
+	// Vital: the lock depends on it.
+	Vital Rank = iota - 1
+	// Binding: somebody waits for the answer.
+	Binding
 	// Needed: work waits for it.
 	Needed
 	// Spare: it is sent when nothing else needs the rate.
@@ -279,8 +281,28 @@
 	return nil
 }
 
+// Delay is how long a binding write that comes now would wait for the rate.
+func (c *Client) Delay() clock.Micros {
+	c.mu.Lock()
+	ops := 0
+	for _, w := range c.pending {
+		if w.Rank <= Binding {
+			ops += len(w.Then)
+		}
+	}
+	c.mu.Unlock()
+	return c.writes.Delay(float64(ops + 1))
+}
+
+// Failing tells that the service has not answered this process for a while.
+func (c *Client) Failing(now clock.Micros) bool {
+	return c.LastRefused() > c.LastOK() && now-c.LastOK() > clock.Second
+}
+
 // Commit queues a write for the next transaction. It returns false, without
-// calling Done, when too many writes are waiting.
+// calling Done, when too many writes are waiting, or when one that somebody
+// waits for cannot be sent before its time is over: the sooner that is said, the
+// better.
 func (c *Client) Commit(w *Write) bool {
 	w.size = 0
 	for i := range w.Then {
@@ -289,6 +311,9 @@
 	for i := range w.If {
 		w.size += len(w.If[i].Key) + 40
 	}
+	if w.Rank == Binding && w.Deadline != 0 && clock.Now()+c.Delay() > w.Deadline {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.pending) >= queueBound {
@@ -324,6 +349,9 @@
 		fits := len(batch) == 0 ||
 			w.Fence == batch[0].Fence && ops+len(w.Then) <= c.limits.TxnOps &&
 				conds+len(w.If)+1 <= 4*c.limits.TxnOps && size+w.size <= maxTxn
+		if len(batch) > 0 && w.Rank > Vital && !c.writes.Has(float64(ops+len(w.Then))) {
+			fits = false // what is booked ahead holds up what is more pressing
+		}
 		if w.Rank == Spare && !c.writes.Has(float64(ops+2*len(w.Then))) {
 			fits, waits = false, true
 		}
