--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -116,7 +116,8 @@
 	ScreenWindowS float64 `yaml:"screen_window_s"`
 	// How long an arrival counts as recent, in seconds.
 	RecencyS float64 `yaml:"recency_s"`
-	// Bounds of the spare target, in machines.
+	// Bounds of the spare target, in machines; an upper one of 0 grows with the
+	// fleet.
 	SpareMin int `yaml:"spare_min"`
 	SpareMax int `yaml:"spare_max"`
 	// The screen's tolerances, as in the paper.
@@ -143,7 +144,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		Alpha: 50, Beta: 1, IdleWaitS: 25, LaxIdleWaitS: 8,
-		ScreenWindowS: 120, RecencyS: 60, SpareMin: 1, SpareMax: 4,
+		ScreenWindowS: 120, RecencyS: 60, SpareMin: 1, SpareMax: 0,
 		ScreenMinSamples: 3, ScreenMaxSamples: 1000,
 		ScreenCV: 0.45, ScreenLag: 0.65, ScreenKS: 3.75,
 		SmoothArrival: 0.2, SmoothService: 0.1, SmoothNeed: 0.1, HorizonS: 600,
@@ -291,7 +292,7 @@
 		{positive(t.ScreenWindowS), "screen_window_s", "is not above 0"},
 		{notNegative(t.RecencyS), "recency_s", "is below 0"},
 		{t.SpareMin >= 0, "spare_min", "is below 0"},
-		{t.SpareMax >= t.SpareMin && t.SpareMax <= 1000, "spare_max", "is not between spare_min and 1000"},
+		{t.SpareMax == 0 || t.SpareMax >= t.SpareMin && t.SpareMax <= 1000, "spare_max", "is not 0 or between spare_min and 1000"},
 		{t.ScreenMinSamples >= 3, "screen_min_samples", "is below 3"},
 		{t.ScreenMaxSamples >= t.ScreenMinSamples, "screen_max_samples", "is below screen_min_samples"},
 		{notNegative(t.ScreenCV), "screen_cv", "is below 0"},
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -916,7 +916,9 @@
 		case l.lg.LeaseEnd(m) <= now && (m.UpAt != 0 || !m.Accounted):
 			// Its tasks are provably over, and it is of no use.
 			l.lg.Expire(m, now)
-			if m.UpAt != 0 {
+			if m.UpAt != 0 || m.Since < l.since {
+				// One that an earlier leader rented and that was taken meanwhile is
+				// on no list: it would count as booting for ever.
 				l.c.log.Info("machine lost", "machine", name)
 				l.delete(m)
 			}
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -20,10 +20,12 @@
 	rest  float64 // seconds of work that wait: what the job still asks for
 	// pressed: at its present width it will not be in time, but could be.
 	pressed bool
-	late    int   // by how much its time is over, see lateness
-	tasks   []int // waiting tasks that may be placed now
-	left    int   // of those, not placed by this plan
-	limit   int   // of those, allowed by the team's limit
+	// short: more than what will be free one boot time on is wanted for it.
+	short bool
+	late  int   // by how much its time is over, see lateness
+	tasks []int // waiting tasks that may be placed now
+	left  int   // of those, not placed by this plan
+	limit int   // of those, allowed by the team's limit
 }
 
 // owed tells which jobs fit into their team's guarantee together with the
--- a/internal/planner/rent.go
+++ b/internal/planner/rent.go
@@ -147,6 +147,7 @@
 		if n <= 0 {
 			continue
 		}
+		e.short = true
 		offers := r.offers(j, e.pressed, only, f)
 		for n > 0 {
 			v := best(offers, func(zone string) bool { return most(zone) > 0 })
--- a/internal/planner/spares.go
+++ b/internal/planner/spares.go
@@ -107,7 +107,9 @@
 func (r *round) spareTarget(dm *Demand, spot bool, q []*entry, hires []Hire, d *Decision) (SpareReport, int) {
 	p := &r.pl.P
 	rep := SpareReport{Gaps: dm.Gaps.Screen(p, r.now), Runs: dm.Runs.Screen(p, r.now)}
-	empty := !slices.ContainsFunc(q, func(e *entry) bool { return e.job.Spec.Spot == spot && e.left > 0 })
+	// The queue counts as empty when what waits will find room that is about to be
+	// free: in a fleet of a thousand machines something always waits a moment.
+	empty := !slices.ContainsFunc(q, func(e *entry) bool { return e.job.Spec.Spot == spot && e.left > 0 && e.short })
 	services := !spot && rep.Runs.N == 0
 	rep.Open = rep.Gaps.OK && (rep.Runs.OK || services) && empty && dm.Recent(r.now, p)
 	if !rep.Open {
@@ -116,13 +118,14 @@
 	in := SpareInput{Unit: dm.unit, Lambda: dm.Rate(), Needs: dm.needs, Horizon: min(p.Horizon, p.IdleWait).Seconds()}
 	var spare, beside float64 // free room in machines: in all, and on used ones
 	nearest := math.Inf(1)
-	active := 0
+	active, fleet := 0, 0
 	typ := ""
 	for _, m := range r.machines {
 		if m.Spot != spot || m.Draining || m.TakenAt != 0 {
 			continue
 		}
 		typ = m.Type
+		fleet++
 		switch {
 		case m.Usable():
 			room := float64(r.free(m).CPU) / float64(max(m.Cap.CPU, 1))
@@ -164,7 +167,12 @@
 	if !r.pl.pressing(dm, r.pl.BootTime(typ, 50)) {
 		return rep, 0
 	}
-	rep.Cost = in.Choose(p.SpareMin, p.SpareMax, p.Alpha, p.Beta)
+	most := p.SpareMax
+	if most == 0 {
+		// Spares grow with the fleet: a job may ask for tens of machines there.
+		most = max(leastSpareMax, fleet/spareShare)
+	}
+	rep.Cost = in.Choose(p.SpareMin, max(most, p.SpareMin), p.Alpha, p.Beta)
 	target := float64(rep.Cost.X) * dm.unit
 	if lack := int(math.Ceil(target - spare - float64(len(in.Booting)) - 1e-9)); lack > 0 && ok {
 		d.Rent = append(d.Rent, Rent{pool, lack})
@@ -174,6 +182,13 @@
 	return rep, max(int(math.Ceil(target-beside-1e-9)), 0)
 }
 
+// Where no bound of the spare target is set, it is one in spareShare of the
+// machines of its kind, and leastSpareMax at least.
+const (
+	spareShare    = 16
+	leastSpareMax = 4
+)
+
 // sparePool picks where a spare machine is rented.
 func (r *round) sparePool(spot bool, d *Decision) (Pool, bool) {
 	var best Pool
