--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -999,7 +999,9 @@
 	}
 	out := l.cleanUp(m)
 	for _, p := range m.places {
-		out = l.order(out, p, now, false)
+		if p.Phase != Present || p.stop {
+			out = l.order(out, p, now, false)
+		}
 	}
 	return out
 }
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -102,3 +102,101 @@
 		}
 	}
 }
+
+// What a plan allocates follows what waits, not the size of the fleet.
+func TestPlanGrowsWithWhatWaits(t *testing.T) {
+	allocs := func(machines, waiting int) float64 {
+		s := fleet(machines, 1, waiting)
+		return testing.AllocsPerRun(5, func() {
+			s.pl.Plan(s.l, s.now, s.now, nil)
+			s.now += 100 * clock.Millisecond
+		})
+	}
+	small, large := allocs(100, 6), allocs(2000, 6)
+	if large > 2*small {
+		t.Errorf("a plan before 100 machines allocates %v times, before 2000 %v times", small, large)
+	}
+	if more := allocs(100, 60); more < 2*small {
+		t.Errorf("ten times the queue allocates %v times, against %v: the test counts the wrong thing", more, small)
+	}
+}
+
+// The fast placement decides as the plain one does: every machine scored for
+// every job, sorted in full, and for a spread job sorted anew for every task.
+func TestPlacementAgainstThePlainOne(t *testing.T) {
+	placed := 0
+	for seed := uint64(1); seed <= 300; seed++ {
+		build := func() (*scene, []*ledger.Job) {
+			rng := rand.New(rand.NewPCG(seed, 21))
+			s := newScene(map[string]ledger.Team{"a": {CPUMax: int64(20+rng.IntN(100)) * 1000}})
+			for i := rng.IntN(30); i >= 0; i-- {
+				m := s.machine(fmt.Sprintf("i-%02d", i), []string{"big", "small"}[rng.IntN(2)], []string{"x", "y", "z"}[rng.IntN(3)], rng.IntN(2) == 0)
+				if rng.IntN(2) == 0 {
+					m.Images[fmt.Sprint("img-", rng.IntN(3))] = s.now
+				}
+			}
+			var jobs []*ledger.Job
+			for i := 0; i < 1+rng.IntN(8); i++ {
+				w := wire.Job{ID: fmt.Sprintf("req-%06d", i), Team: "a", Tasks: 1 + rng.IntN(12), CPUs: float64(1 + rng.IntN(4)), MemoryGB: float64(1 + rng.IntN(8)),
+					EstimateS: float64(5 + rng.IntN(90)), Spot: rng.IntN(2) == 0, Image: fmt.Sprint("img-", rng.IntN(3))}
+				if rng.IntN(3) == 0 {
+					w.Kind, w.EstimateS, w.Spread = wire.KindService, 0, true
+				}
+				jobs = append(jobs, s.job(w))
+			}
+			return s, jobs
+		}
+		place := func(s *scene, how func(r *round, e *entry)) map[string]string {
+			q := s.pl.queue(s.l, nil, s.now, s.now)
+			r := s.pl.round(s.l, q, s.now)
+			for _, e := range q {
+				e.limit = r.allowance(e.job)
+				how(r, e)
+			}
+			got := map[string]string{}
+			for _, j := range s.l.Jobs {
+				j.Places(func(p *ledger.Placement) { got[wire.TaskID(j.Spec.ID, p.Index)] = p.Machine.Name })
+			}
+			return got
+		}
+		a, _ := build()
+		fast := place(a, func(r *round, e *entry) { r.placeTasks(e) })
+		b, _ := build()
+		plain := place(b, func(r *round, e *entry) {
+			j := e.job
+			scores := map[*ledger.Machine]float64{}
+			for _, m := range r.machines {
+				scores[m] = r.score(j, m)
+			}
+			for k := 0; k < min(len(e.tasks), e.limit); k++ {
+				var best *ledger.Machine
+				for _, m := range r.machines {
+					if !m.Usable() || !ledger.Allowed(j, m) || !j.Need.Fits(r.free(m)) {
+						continue
+					}
+					if j.Spec.Spread && best != nil && j.InZone(m.Zone) > j.InZone(best.Zone) {
+						continue
+					}
+					if best == nil || j.Spec.Spread && j.InZone(m.Zone) < j.InZone(best.Zone) || scores[m] > scores[best] {
+						best = m
+					}
+				}
+				if best == nil || r.l.Place(j, e.tasks[k], best, r.l.Attempt(), r.now) != nil {
+					return
+				}
+			}
+		})
+		if len(fast) != len(plain) {
+			t.Fatalf("scene %d: %d tasks placed, plainly %d", seed, len(fast), len(plain))
+		}
+		for id, m := range plain {
+			if fast[id] != m {
+				t.Fatalf("scene %d: %s goes to %s, plainly to %s", seed, id, fast[id], m)
+			}
+		}
+		placed += len(plain)
+	}
+	if placed < 2000 {
+		t.Fatalf("only %d tasks were placed", placed)
+	}
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -109,6 +109,14 @@
 	if v := screen(same[:2], &p); v.OK || v.Reason != "too few samples" {
 		t.Errorf("two samples: %+v", v)
 	}
+	// More samples than the bound in a window: the newest count.
+	var many Series
+	for i := 0; i < 3*p.MaxCount; i++ {
+		many.Add(clock.Micros(i), rng.ExpFloat64()*7)
+	}
+	if v := many.Screen(&p, clock.Second); !v.OK || v.N != p.MaxCount {
+		t.Errorf("a busy window: %+v", v)
+	}
 	var s Series
 	for i := 0; i < 10; i++ {
 		s.Add(clock.Micros(i)*clock.Second, 1)
