--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -293,6 +293,9 @@
 // Fetching tells whether a task that has not run yet waits for the image.
 func (m *Machine) Fetching(image string) bool { return m.fetching[image] > 0 }
 
+// Fetches is how many images tasks on it wait for; they share its rate.
+func (m *Machine) Fetches() int { return len(m.fetching) }
+
 // Tasks is how many placements are on it.
 func (m *Machine) Tasks() int { return len(m.places) }
 
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -18,10 +18,17 @@
 		// back: they go together.
 		s += 50
 	}
-	if _, ok := m.Images[j.Spec.Image]; ok {
+	switch _, ok := m.Images[j.Spec.Image]; {
+	case ok && j.Service():
+		s += 60 // a replica is awaited: rather apart than after a fetch
+	case ok:
 		s += 20
-	} else if m.Fetching(j.Spec.Image) {
+	case m.Fetching(j.Spec.Image):
 		s += 10
+	default:
+		// Fetches share a machine's rate: when many replicas have lost their
+		// place, one machine after the other fetched every image there is.
+		s -= 10 * float64(m.Fetches())
 	}
 	if n := j.ErrorsOn[m.Name]; n > 0 {
 		s -= 1000
