--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -48,6 +48,18 @@
 	held     []ledger.Resources // promised to jobs not yet marked, by rank
 	busy     []float64          // seconds until the last task ends, by rank; -1: not worked out
 	freeing  []ledger.Resources // taken by tasks that are stopping, by rank; nil: not worked out
+	zones    map[string]*zoneView
+}
+
+// zoneView counts a zone's machines that were up, and those of them heard.
+type zoneView struct{ up, heard int }
+
+// dark tells that hardly any machine of a zone is heard: a new one there would
+// not be either. Once all that was rented for the replicas of a zone that was
+// cut off came up in that zone, which had the fewest machines left.
+func (r *round) dark(zone string) bool {
+	z := r.zones[zone]
+	return z != nil && z.up >= 3 && 3*z.heard < z.up
 }
 
 // poolView is what a round knows of a pool.
@@ -84,7 +96,7 @@
 }
 
 func (pl *Planner) round(l *ledger.Ledger, q []*entry, now clock.Micros) *round {
-	r := &round{pl: pl, l: l, now: now, machines: l.ByName()}
+	r := &round{pl: pl, l: l, now: now, machines: l.ByName(), zones: map[string]*zoneView{}}
 	pl.held = sized(pl.held, len(r.machines))
 	pl.busy = sized(pl.busy, len(r.machines))
 	r.held, r.busy = pl.held, pl.busy
@@ -101,6 +113,18 @@
 	for _, m := range r.machines {
 		v := r.view(Pool{m.Type, m.Zone, m.Spot})
 		v.count++
+		// What an earlier leader rented is up for all that is known.
+		if m.UpAt != 0 || m.Since < pl.Since {
+			z := r.zones[m.Zone]
+			if z == nil {
+				z = &zoneView{}
+				r.zones[m.Zone] = z
+			}
+			z.up++
+			if now-max(m.Heard, pl.Since) <= pl.Fresh {
+				z.heard++
+			}
+		}
 		if len(q) > 0 && r.usable(m) && r.least.Fits(m.Free()) {
 			v.open = append(v.open, m)
 		}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -494,3 +494,40 @@
 		t.Fatal("a machine that is not heard got work")
 	}
 }
+
+// When a whole zone falls silent, what is rented for its replicas comes up in
+// another: in the silent one it would be heard no more than the rest.
+func TestNothingIsRentedInADarkZone(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	s.pl.Fresh = 5 * clock.Second
+	ms := map[string][]*ledger.Machine{}
+	for i := 0; i < 12; i++ {
+		z := []string{"x", "y"}[i%2]
+		ms[z] = append(ms[z], s.machine(fmt.Sprintf("i-%02d", i), "small", z, false))
+	}
+	s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 12, CPUs: 4, Priority: wire.PriorityProduction, Kind: wire.KindService, Spread: true, Types: []string{"small"}})
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	reports := func(zone string) {
+		for _, m := range ms[zone] {
+			s.seqs[m.Name]++
+			r := &wire.Report{Machine: m.Name, Session: 1, Seq: s.seqs[m.Name], Token: 1, Addr: "127.0.0.1:1"}
+			m.Places(func(p *ledger.Placement) {
+				r.Tasks = append(r.Tasks, wire.TaskReport{Task: wire.TaskID(p.Job.Spec.ID, p.Index), Attempt: p.Attempt, State: wire.TaskRunning})
+			})
+			s.l.Report(m, r, s.now)
+		}
+	}
+	reports("x")
+	reports("y")
+	s.now += 6 * clock.Second
+	reports("y")
+	d := s.pl.Plan(s.l, s.now, s.now, nil)
+	if len(d.Rent) == 0 {
+		t.Fatal("nothing is rented for the replicas of the silent zone")
+	}
+	for _, r := range d.Rent {
+		if r.Pool.Zone == "x" {
+			t.Fatalf("rents %v where nobody is heard", r)
+		}
+	}
+}
--- a/internal/planner/rent.go
+++ b/internal/planner/rent.go
@@ -266,7 +266,7 @@
 			continue
 		}
 		for _, z := range t.Zones {
-			if only != "" && z != only {
+			if only != "" && z != only || r.dark(z) {
 				continue
 			}
 			for _, spot := range []bool{true, false} {
--- a/internal/planner/spares.go
+++ b/internal/planner/spares.go
@@ -196,7 +196,7 @@
 	for name, t := range r.pl.Types {
 		for _, z := range t.Zones {
 			p := Pool{name, z, spot}
-			if r.now < r.pl.pool(p).blockedUntil {
+			if r.now < r.pl.pool(p).blockedUntil || r.dark(z) {
 				continue
 			}
 			if !found || r.count(p) < r.count(best) || r.count(p) == r.count(best) && less(p, best) {
