--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"firwood.dev/firwood/internal/clock"
@@ -63,8 +64,9 @@
 			continue
 		}
 		e := &entry{job: j, owed: owed[j], need: 1, run: pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)}
-		e.tight = pl.tight(j, e.run, wall)
-		e.late = pl.lateness(j, e.run, wall)
+		atBest := pl.atBest(j, e.run)
+		e.tight = pl.tight(j, atBest, wall)
+		e.late = pl.lateness(j, atBest, wall)
 		// Smallest first alone would have the largest wait as long as small ones
 		// come. Once something of it has started it has no claim any more.
 		e.aged = pl.P.AgeAfter > 0 && wall-j.Submitted >= pl.P.AgeAfter && j.Active() == 0 && j.DoneCount() == 0
@@ -127,6 +129,19 @@
 	return slack >= 0 && slack < max(run/4, tightSlack)
 }
 
+// atBest is how long, in seconds, what waits of a job takes at the least: its
+// team's limit may not let all tasks run at a time.
+func (pl *Planner) atBest(j *ledger.Job, run float64) float64 {
+	g := pl.Teams[j.Spec.Team]
+	waves := 1.0
+	for _, d := range [][2]int64{{g.CPUMax, j.Need.CPU}, {g.GPUMax, j.Need.GPU}} {
+		if d[0] > 0 && d[1] > 0 {
+			waves = max(waves, math.Ceil(float64(j.WaitingCount())/float64(max(d[0]/d[1], 1))))
+		}
+	}
+	return waves * run
+}
+
 // due is when a job should be done, in seconds from its submission; 0: no such
 // time.
 func (pl *Planner) due(j *ledger.Job) float64 {
