--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -143,7 +143,7 @@
 // DefaultTuning holds the named defaults.
 func DefaultTuning() Tuning {
 	return Tuning{
-		Alpha: 50, Beta: 1, IdleWaitS: 12, LaxIdleWaitS: 8,
+		Alpha: 50, Beta: 1, IdleWaitS: 25, LaxIdleWaitS: 8,
 		ScreenWindowS: 120, RecencyS: 60, SpareMin: 1, SpareMax: 0,
 		ScreenMinSamples: 3, ScreenMaxSamples: 1000,
 		ScreenCV: 0.45, ScreenLag: 0.65, ScreenKS: 3.75,
--- a/internal/planner/spares.go
+++ b/internal/planner/spares.go
@@ -210,6 +210,17 @@
 // minimumCharge is what a deleted machine costs at least; the protocol says so.
 const minimumCharge = 60 * clock.Second
 
+// kind counts the machines of a kind.
+func (r *round) kind(spot bool) int {
+	n := 0
+	for _, v := range r.pools {
+		if v.pool.Spot == spot {
+			n += v.count
+		}
+	}
+	return n
+}
+
 // giveBack returns machines that have been idle for the wait, but for those
 // that the spare target keeps.
 func (r *round) giveBack(spot bool, keep int, d *Decision) {
@@ -224,14 +235,18 @@
 		}
 	}
 	slices.SortStableFunc(idle, func(a, b *ledger.Machine) int { return -cmp.Compare(a.IdleAt, b.IdleAt) })
+	idleWait := r.pl.P.IdleWait
+	if r.kind(spot)/spareShare > leastSpareMax {
+		idleWait /= 2 // the spares, which have grown with the fleet, are what is kept
+	}
 	for i, m := range idle {
 		idle := r.now - max(m.IdleAt, m.UpAt)
-		wait := r.pl.P.IdleWait
+		wait := idleWait
 		if !r.pl.pressing(dm, r.pl.BootTime(m.Type, 50)) {
-			wait = r.pl.P.LaxIdleWait
+			wait = min(r.pl.P.LaxIdleWait, idleWait)
 		}
 		// The first minute is paid whether it is used or not.
-		if i >= keep && idle >= wait && (r.now-m.Since >= minimumCharge || idle >= r.pl.P.IdleWait) {
+		if i >= keep && idle >= wait && (r.now-m.Since >= minimumCharge || idle >= idleWait) {
 			d.Return = append(d.Return, m)
 		}
 	}
