Replicas prefer zones with a controller, where leases can be kept alive in a cut

Machines for services are rented, and services placed, in zones with controllers first, as far as spread and capacity allow; ordinary spares too.

--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -102,6 +102,12 @@
 		Horizon: clock.FromSeconds(t.HorizonS), SpotPatience: clock.FromSeconds(t.SpotPatienceS), AgeAfter: clock.FromSeconds(t.AgeAfterS),
 	}, c.types, c.teams, d.Zones)
 	l.pl.Fresh, l.pl.Since = l.freshFor(), now
+	if c.times.For > 0 {
+		l.pl.Kept = map[string]bool{c.cfg.Location: true}
+		for _, o := range c.cfg.Others {
+			l.pl.Kept[o.Location] = true
+		}
+	}
 	l.pl.Waits, l.pl.Due = map[string]float64{}, map[string]float64{}
 	for _, o := range d.Objectives {
 		if e, ok := l.pl.Due[o.Class]; o.Kind == "finished" && (!ok || o.WithinS < e) {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -152,6 +152,7 @@
 // placeSpread places tasks one by one, each in the zone that has the fewest.
 func (r *round) placeSpread(j *ledger.Job, most int, put func(*ledger.Machine) bool) {
 	type zone struct {
+		name  string
 		c     options
 		count int
 	}
@@ -160,7 +161,7 @@
 	r.candidates(j, func(m *ledger.Machine) {
 		z := byName[m.Zone]
 		if z == nil {
-			z = &zone{count: j.InZone(m.Zone)}
+			z = &zone{name: m.Zone, count: j.InZone(m.Zone)}
 			byName[m.Zone] = z
 			zones = append(zones, z)
 		}
@@ -175,7 +176,8 @@
 			if len(z.c) == 0 || z.count >= j.SpreadLimit() {
 				continue
 			}
-			if best == nil || z.count < best.count || z.count == best.count && better(z.c[0], best.c[0]) {
+			if best == nil || r.rather(j, z.name, best.name) ||
+				!r.rather(j, best.name, z.name) && (z.count < best.count || z.count == best.count && better(z.c[0], best.c[0])) {
 				best = z
 			}
 		}
@@ -191,6 +193,12 @@
 	}
 }
 
+// rather tells whether a job is better off in zone a than in b: replicas outlive
+// a cut only where a controller inside can keep their leases alive.
+func (r *round) rather(j *ledger.Job, a, b string) bool {
+	return j.Service() && r.pl.Kept[a] && !r.pl.Kept[b]
+}
+
 func better(a, b option) bool { return options{a, b}.Less(0, 1) }
 
 // placeGang places all tasks of a gang, or none.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -36,6 +36,9 @@
 	// Fresh is how long ago a machine that can be heard may have reported last;
 	// Since is when this leader took over.
 	Fresh, Since clock.Micros
+	// Kept are the zones in which somebody can keep leases alive in a cut; nil
+	// where nobody can anywhere.
+	Kept map[string]bool
 	// Waits are the shortest waits that users expect, in seconds by class.
 	Waits map[string]float64
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -531,3 +531,45 @@
 		}
 	}
 }
+
+// A cut of a zone without a controller once took a third of the replicas: nobody
+// inside can keep their leases alive. Replicas go, and machines are rented for
+// them, where somebody can, as far as the job's wishes allow.
+func TestReplicasWhereLeasesAreKept(t *testing.T) {
+	s := newScene(nil)
+	s.pl.SetTypes([]wire.MachineType{{Name: "m", CPUs: 16, MemoryGB: 64, Price: 1, BootS: 15, Zones: []string{"x", "y", "z"}}})
+	s.pl.Zones = []string{"x", "y", "z"}
+	s.pl.Kept = map[string]bool{"y": true, "z": true}
+	count := func(j *ledger.Job) map[string]int {
+		at := map[string]int{}
+		j.Places(func(p *ledger.Placement) { at[p.Machine.Zone]++ })
+		return at
+	}
+	j := s.job(wire.Job{Kind: wire.KindService, Priority: wire.PriorityProduction, Tasks: 5, CPUs: 1, MemoryGB: 1, Spread: true})
+	d := s.pl.Plan(s.l, s.now, s.now, nil)
+	for _, r := range d.Rent {
+		if r.Pool.Zone == "x" {
+			t.Errorf("rented in a zone where nobody keeps leases: %+v", d.Rent)
+		}
+	}
+	if len(d.Rent) == 0 {
+		t.Fatal("nothing rented")
+	}
+	for _, z := range []string{"x", "y", "z"} {
+		s.machine("i-"+z, "m", z, false)
+	}
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	if at := count(j); at["x"] != 0 || at["y"]+at["z"] != 5 {
+		t.Errorf("placed at %v", at)
+	}
+	// One kept zone alone may not have them all.
+	s = newScene(nil)
+	s.pl.Kept = map[string]bool{"y": true}
+	s.machine("i-x", "big", "x", false)
+	s.machine("i-y", "big", "y", false)
+	j = s.job(wire.Job{Kind: wire.KindService, Priority: wire.PriorityProduction, Tasks: 5, CPUs: 1, MemoryGB: 1, Spread: true})
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	if at := count(j); at["y"] != 3 || at["x"] != 2 {
+		t.Errorf("with one kept zone placed at %v", at)
+	}
+}
--- a/internal/planner/rent.go
+++ b/internal/planner/rent.go
@@ -150,7 +150,7 @@
 		e.short = true
 		offers := r.offers(j, e.pressed, only, f)
 		for n > 0 {
-			v := best(offers, func(zone string) bool { return most(zone) > 0 })
+			v := r.best(j, offers, func(zone string) bool { return most(zone) > 0 })
 			if v == nil || v.rented >= wire.MaxHire {
 				break // more than one call may ask for is for the next plan
 			}
@@ -289,22 +289,32 @@
 }
 
 // best picks where to rent one more machine for a job: the cheapest by task,
-// then the zone with the fewest machines, so that a loss hits little.
-func best(offers []offer, open func(zone string) bool) *futurePool {
+// then where the job is better off, then the zone with the fewest machines, so
+// that a loss hits little.
+func (r *round) best(j *ledger.Job, offers []offer, open func(zone string) bool) *futurePool {
 	var best *futurePool
 	var cost float64
 	for _, o := range offers {
 		if !open(o.v.pool.Zone) {
 			continue
 		}
-		c := o.cost + 1e-6*float64(o.v.count)
-		if best == nil || c < cost || c == cost && less(o.v.pool, best.pool) {
-			best, cost = o.v, c
+		if best == nil || o.cost < cost || o.cost == cost && r.nearer(j, o.v, best) {
+			best, cost = o.v, o.cost
 		}
 	}
 	return best
 }
 
+func (r *round) nearer(j *ledger.Job, a, b *futurePool) bool {
+	switch {
+	case r.rather(j, a.pool.Zone, b.pool.Zone):
+		return true
+	case r.rather(j, b.pool.Zone, a.pool.Zone):
+		return false
+	}
+	return a.count < b.count || a.count == b.count && less(a.pool, b.pool)
+}
+
 func less(a, b Pool) bool {
 	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Type, b.Type)) < 0
 }
--- a/internal/planner/spares.go
+++ b/internal/planner/spares.go
@@ -199,7 +199,10 @@
 			if r.now < r.pl.pool(p).blockedUntil || r.dark(z) {
 				continue
 			}
-			if !found || r.count(p) < r.count(best) || r.count(p) == r.count(best) && less(p, best) {
+			// Ordinary spares are for replicas first.
+			kept := !spot && r.pl.Kept[z] && !r.pl.Kept[best.Zone]
+			lost := !spot && r.pl.Kept[best.Zone] && !r.pl.Kept[z]
+			if !found || kept || !lost && (r.count(p) < r.count(best) || r.count(p) == r.count(best) && less(p, best)) {
 				best, found = p, true
 			}
 		}
