Word left of silent zones and members: a new leader knows when leases there end

Now a leader leaves word in the state service of zones of which nobody is heard (no report from there is answered until that is taken back, durably) and of members not heard (no new right). Ruled out: the cloud outage (rooms were there when the proof came).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,14 +54,17 @@
 	// voucher is this member's right to keep leases alive, sentOn the workers
 	// that were sent to the leader and may come back, stamps the others' clocks
 	// as last heard.
-	voucher   *vouch.Voucher
-	sentOn    map[string]clock.Micros
-	stamps    map[string]vouch.Stamp
-	times     vouch.Config
-	nextBeat  clock.Micros
-	dropLogAt clock.Micros
-	dropsTold int64
-	unfit     atomic.Bool // users should not be sent here
+	voucher *vouch.Voucher
+	sentOn  map[string]clock.Micros
+	stamps  map[string]vouch.Stamp
+	// mayPromise are zones that this member, when it last led, may have promised
+	// to vouch for nobody in.
+	mayPromise map[string]bool
+	times      vouch.Config
+	nextBeat   clock.Micros
+	dropLogAt  clock.Micros
+	dropsTold  int64
+	unfit      atomic.Bool // users should not be sent here
 
 }
 
--- a/internal/core/durable.go
+++ b/internal/core/durable.go
@@ -40,9 +40,14 @@
 
 // write commits a change that is bound to the lock.
 func (l *lead) write(w *state.Write, then func(state.Outcome)) {
+	l.writeRev(w, func(o state.Outcome, _ uint64) { then(o) })
+}
+
+// writeRev is the same where the revision matters.
+func (l *lead) writeRev(w *state.Write, then func(state.Outcome, uint64)) {
 	w.Fence = l.token
 	w.Deadline = clock.Now() + 3*clock.Second
-	w.Done = func(o state.Outcome, _ uint64) {
+	w.Done = func(o state.Outcome, rev uint64) {
 		l.c.post(func() {
 			if l.closed {
 				return
@@ -51,11 +56,11 @@
 				l.c.fenced(l.token)
 				return
 			}
-			then(o)
+			then(o, rev)
 		})
 	}
 	if !l.c.store.Commit(w) {
-		then(state.Refused)
+		then(state.Refused, 0)
 	}
 }
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -79,15 +79,17 @@
 		}
 		l.knewAt = now
 		for m, s := range stamps {
-			l.echoes[m] = s
-			l.bound.Echoed(m, now)
+			if !l.keeper.Member(m) {
+				l.echoes[m] = s
+				l.bound.Echoed(m, now)
+			}
 		}
 	}, now+beatEvery)
 }
 
 // watchMachines gives up machines that are stuck, silent, taken or over.
 func (l *lead) watchMachines(now clock.Micros) {
-	l.lg.Vouched(l.bound.Latest(now))
+	l.bounds(now)
 	silent := l.silentAfter()
 	zones := map[string]*hearing{}
 	var all hearing
@@ -107,6 +109,7 @@
 	if l.handOver(all, now) {
 		return
 	}
+	l.leaveWord(now)
 	for name, m := range l.lg.Machines {
 		a := l.machines[name]
 		if a == nil || a.deleting {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -53,6 +53,11 @@
 	bound  *vouch.Bound
 	echoes map[string]vouch.Stamp
 	knewAt clock.Micros
+	// keeper holds what is promised to leaders to come, opening the zones about
+	// which that is being taken back, held the reports that wait for it.
+	keeper  *vouch.Keeper
+	opening map[string]bool
+	held    []waiting
 
 	saving    int // progress writes under way
 	directing int // direct messages under way
@@ -124,8 +129,8 @@
 	for _, o := range c.cfg.Others {
 		others = append(others, o.Member)
 	}
-	l.bound, l.echoes = vouch.NewBound(c.times, now, others), map[string]vouch.Stamp{}
-	l.lg.Vouched(l.bound.Latest(now))
+	l.bound, l.echoes = vouch.NewBound(c.times, now, c.voucher.QuietFor(now), others), map[string]vouch.Stamp{}
+	l.keeper, l.opening = vouch.NewKeeper(c.view.word, c.view.wordVersion), map[string]bool{}
 
 	wall := clock.Wall()
 	for name, rec := range c.view.hires {
@@ -152,6 +157,8 @@
 			l.jobs[id].over = true
 		}
 	}
+	l.heed(now)
+	l.bounds(now)
 	l.lg.Settle()
 	c.log.Info("account rebuilt", "token", token, "jobs", len(l.lg.Jobs), "machines", len(l.lg.Machines), "accounted", l.lg.Accounted())
 	return l
@@ -202,10 +209,18 @@
 func (l *lead) close() {
 	l.closed = true
 	l.deadline.Store(0)
+	l.c.mayPromise = l.keeper.Zones()
+	for _, h := range l.held {
+		later(h.r, "the lead is over")
+	}
+	l.held = nil
 }
 
 func (l *lead) checkin(rep *wire.Report, r *server.Reply) {
 	now := clock.Now()
+	if l.mustWait(rep, r, now) {
+		return
+	}
 	reply := wire.Reply{Token: l.token}
 	m := l.lg.Machines[rep.Machine]
 	if m == nil {
--- a/internal/core/lead_test.go
+++ b/internal/core/lead_test.go
@@ -77,7 +77,7 @@
 func TestVouchingSendsOnFirst(t *testing.T) {
 	l := rebuilt(t)
 	c := l.c
-	c.lead = nil
+	c.lead, c.view.loaded = nil, true
 	now, back := 100*clock.Second, 5*clock.Second
 	rep := &wire.Report{Machine: "i-1", Token: 5}
 	c.voucher = vouch.NewVoucher(c.times, 1, now-60*clock.Second)
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
@@ -17,6 +18,7 @@
 	prefix       = "firwood/"
 	keyLock      = prefix + "lead"
 	keyTypes     = prefix + "types"
+	keyWord      = prefix + "word"
 	prefixJob    = prefix + "job/"
 	prefixDone   = prefix + "done/"
 	prefixHire   = prefix + "hire/"
@@ -64,6 +66,11 @@
 	Machines []string `json:"m,omitempty"`
 }
 
+// wordRecord is the value of the key for what a leader leaves word of.
+type wordRecord struct {
+	Word vouch.Word `json:"w"`
+}
+
 // doneRecord is the value of a progress key. That it exists says that tasks of
 // the job may have been started.
 type doneRecord struct {
--- a/internal/core/records_easyjson.go
+++ b/internal/core/records_easyjson.go
@@ -4,6 +4,8 @@
 
 import (
 	json "encoding/json"
+	clock "firwood.dev/firwood/internal/clock"
+	_vouch "firwood.dev/firwood/internal/vouch"
 	wire "firwood.dev/firwood/wire"
 	easyjson "github.com/mailru/easyjson"
 	jlexer "github.com/mailru/easyjson/jlexer"
@@ -18,7 +20,268 @@
 	_ easyjson.Marshaler
 )
 
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(in *jlexer.Lexer, out *lockRecord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(in *jlexer.Lexer, out *wordRecord) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "w":
+			easyjsonAf922c28DecodeFirwoodDevFirwoodInternalVouch(in, &out.Word)
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(out *jwriter.Writer, in wordRecord) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"w\":"
+		out.RawString(prefix[1:])
+		easyjsonAf922c28EncodeFirwoodDevFirwoodInternalVouch(out, in.Word)
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v wordRecord) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v wordRecord) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *wordRecord) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *wordRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(l, v)
+}
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalVouch(in *jlexer.Lexer, out *_vouch.Word) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "z":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				in.Delim('{')
+				if !in.IsDelim('}') {
+					out.Zones = make(map[string]_vouch.ZoneWord)
+				} else {
+					out.Zones = nil
+				}
+				for !in.IsDelim('}') {
+					key := string(in.String())
+					in.WantColon()
+					var v1 _vouch.ZoneWord
+					easyjsonAf922c28DecodeFirwoodDevFirwoodInternalVouch1(in, &v1)
+					(out.Zones)[key] = v1
+					in.WantComma()
+				}
+				in.Delim('}')
+			}
+		case "m":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				in.Delim('{')
+				if !in.IsDelim('}') {
+					out.Members = make(map[string]clock.Micros)
+				} else {
+					out.Members = nil
+				}
+				for !in.IsDelim('}') {
+					key := string(in.String())
+					in.WantColon()
+					var v2 clock.Micros
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v2 = clock.Micros(in.Int64())
+					}
+					(out.Members)[key] = v2
+					in.WantComma()
+				}
+				in.Delim('}')
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalVouch(out *jwriter.Writer, in _vouch.Word) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if len(in.Zones) != 0 {
+		const prefix string = ",\"z\":"
+		first = false
+		out.RawString(prefix[1:])
+		{
+			out.RawByte('{')
+			v3First := true
+			for v3Name, v3Value := range in.Zones {
+				if v3First {
+					v3First = false
+				} else {
+					out.RawByte(',')
+				}
+				out.String(string(v3Name))
+				out.RawByte(':')
+				easyjsonAf922c28EncodeFirwoodDevFirwoodInternalVouch1(out, v3Value)
+			}
+			out.RawByte('}')
+		}
+	}
+	if len(in.Members) != 0 {
+		const prefix string = ",\"m\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('{')
+			v4First := true
+			for v4Name, v4Value := range in.Members {
+				if v4First {
+					v4First = false
+				} else {
+					out.RawByte(',')
+				}
+				out.String(string(v4Name))
+				out.RawByte(':')
+				out.Int64(int64(v4Value))
+			}
+			out.RawByte('}')
+		}
+	}
+	out.RawByte('}')
+}
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalVouch1(in *jlexer.Lexer, out *_vouch.ZoneWord) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "t":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.At = clock.Micros(in.Int64())
+			}
+		case "b":
+			if in.IsNull() {
+				in.Skip()
+				out.By = nil
+			} else {
+				in.Delim('[')
+				if out.By == nil {
+					if !in.IsDelim(']') {
+						out.By = make([]string, 0, 4)
+					} else {
+						out.By = []string{}
+					}
+				} else {
+					out.By = (out.By)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v5 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v5 = string(in.String())
+					}
+					out.By = append(out.By, v5)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalVouch1(out *jwriter.Writer, in _vouch.ZoneWord) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"t\":"
+		out.RawString(prefix[1:])
+		out.Int64(int64(in.At))
+	}
+	if len(in.By) != 0 {
+		const prefix string = ",\"b\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v6, v7 := range in.By {
+				if v6 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v7))
+			}
+			out.RawByte(']')
+		}
+	}
+	out.RawByte('}')
+}
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore1(in *jlexer.Lexer, out *lockRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -54,7 +317,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(out *jwriter.Writer, in lockRecord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore1(out *jwriter.Writer, in lockRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -74,27 +337,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v lockRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(&w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore1(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v lockRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore1(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *lockRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(&r, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore1(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *lockRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(l, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore1(l, v)
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore1(in *jlexer.Lexer, out *jobRecord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(in *jlexer.Lexer, out *jobRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -186,7 +449,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore1(out *jwriter.Writer, in jobRecord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore2(out *jwriter.Writer, in jobRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -252,27 +515,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v jobRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore1(&w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore2(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v jobRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore1(w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore2(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *jobRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore1(&r, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *jobRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore1(l, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(l, v)
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(in *jlexer.Lexer, out *hireRecord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(in *jlexer.Lexer, out *hireRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -338,13 +601,13 @@
 					out.Machines = (out.Machines)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v1 string
+					var v8 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v1 = string(in.String())
+						v8 = string(in.String())
 					}
-					out.Machines = append(out.Machines, v1)
+					out.Machines = append(out.Machines, v8)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -359,7 +622,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore2(out *jwriter.Writer, in hireRecord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(out *jwriter.Writer, in hireRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -398,11 +661,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v2, v3 := range in.Machines {
-				if v2 > 0 {
+			for v9, v10 := range in.Machines {
+				if v9 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v3))
+				out.String(string(v10))
 			}
 			out.RawByte(']')
 		}
@@ -413,27 +676,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v hireRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore2(&w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v hireRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore2(w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *hireRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(&r, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *hireRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(l, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(l, v)
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(in *jlexer.Lexer, out *doneRecord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore4(in *jlexer.Lexer, out *doneRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -463,7 +726,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(out *jwriter.Writer, in doneRecord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore4(out *jwriter.Writer, in doneRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -478,23 +741,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v doneRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(&w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore4(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v doneRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore4(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *doneRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(&r, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore4(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *doneRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(l, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore4(l, v)
 }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -415,6 +415,9 @@
 	if c.lead != nil {
 		c.voucher.Led(c.lead.token, c.lead.knewAt)
 	}
+	if !c.view.loaded || c.promised(rep.Zone) {
+		return false
+	}
 	token, until, ok := c.voucher.May(now, rep.Token)
 	if _, newest := c.el.Holder(); !ok || newest > token {
 		return false
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -8,6 +8,7 @@
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/election"
 	"firwood.dev/firwood/internal/state"
+	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
@@ -21,6 +22,9 @@
 	done   map[string]map[int]bitmap
 	hires  map[string]*hireRecord
 	lock   election.Lock
+	// word is what leaders have left word of, with its version.
+	word        vouch.Word
+	wordVersion uint64
 
 	waiters  []*waiter
 	syncing  int // syncs under way
@@ -232,6 +236,13 @@
 		if len(c.types) == 0 {
 			c.setTypes(t.Types)
 		}
+	case key == keyWord:
+		var r wordRecord
+		if err := r.UnmarshalJSON(value); err != nil {
+			c.malformed(key, err)
+			return
+		}
+		c.seenWord(r.Word, version)
 	case strings.HasPrefix(key, prefixJob):
 		id := key[len(prefixJob):]
 		r := &jobRecord{}
--- /dev/null
+++ b/internal/core/word.go
@@ -0,0 +1,218 @@
+package core
+
+import (
+	"maps"
+	"slices"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/server"
+	"firwood.dev/firwood/internal/state"
+	"firwood.dev/firwood/internal/vouch"
+	"firwood.dev/firwood/wire"
+)
+
+// What a leader leaves word of: zones that are silent, members that are not
+// heard. See vouch.Word.
+
+func (c *Core) seenWord(w vouch.Word, version uint64) {
+	if version <= c.view.wordVersion {
+		return
+	}
+	c.view.word, c.view.wordVersion = w, version
+	c.mayPromise = nil
+	if c.lead != nil {
+		c.lead.keeper.Seen(w, version)
+	}
+}
+
+// clockError bounds how far two members' times of day may be apart.
+func (c *Core) clockError() clock.Micros {
+	return 2 * clock.FromSeconds(c.cfg.Deployment.ClockErrorMs/1000)
+}
+
+// notBefore is an instant of the steady clock that is certainly not before a time of
+// day that some member has noted.
+func (c *Core) notBefore(now, wall clock.Micros) clock.Micros {
+	return now - (clock.Wall() - wall) + c.clockError()
+}
+
+// heed takes over what earlier leaders have left word of.
+func (l *lead) heed(now clock.Micros) {
+	w, _ := l.keeper.Word()
+	for _, m := range l.lg.Machines {
+		if z, ok := w.Zones[m.Zone]; ok {
+			l.lg.LastHeardBy(m, l.c.notBefore(now, z.At))
+		}
+	}
+	for m, end := range w.Members {
+		l.bound.Known(m, l.c.notBefore(now, end))
+	}
+}
+
+// bounds tells the ledger until when others may have vouched.
+func (l *lead) bounds(now clock.Micros) {
+	w, _ := l.keeper.Word()
+	zones := map[string]clock.Micros{}
+	for z, p := range w.Zones {
+		zones[z] = l.bound.LatestBut(now, l.c.cfg.Member, p.By)
+	}
+	l.lg.Vouched(l.bound.Latest(now), zones)
+}
+
+// leaveWord writes what has changed about who is heard. A zone of which no
+// machine is heard gets no answers from now on, and a member that is not heard no
+// rights, until the word is taken back: a new leader, who has never heard either,
+// then knows when the leases there end.
+func (l *lead) leaveWord(now clock.Micros) {
+	old, _ := l.keeper.Word()
+	w := vouch.Word{Zones: map[string]vouch.ZoneWord{}, Members: map[string]clock.Micros{}}
+	wall := func(at clock.Micros) clock.Micros { return clock.Wall() - (now - at) }
+	for z, s := range l.zones(now) {
+		p, ok := old.Zones[z]
+		switch {
+		case l.opening[z] || !ok && (s.heard || !s.up):
+			continue
+		case !ok:
+			p = vouch.ZoneWord{At: wall(max(s.last, l.bound.Own())), By: []string{l.c.cfg.Member}}
+		case !slices.Contains(p.By, l.c.cfg.Member):
+			p.At = max(p.At, wall(l.bound.Own()))
+			p.By = append(slices.Clone(p.By), l.c.cfg.Member)
+		}
+		w.Zones[z] = p
+	}
+	for _, o := range l.c.cfg.Others {
+		if b := l.c.beats[o.Member]; l.c.times.For == 0 || b != nil && now-b.at < silentMember {
+			continue
+		}
+		end, ok := old.Members[o.Member]
+		switch {
+		case !ok && now-l.since < silentMember:
+			continue
+		case !ok:
+			end = wall(l.bound.Right(o.Member))
+		}
+		w.Members[o.Member] = end
+	}
+	if !w.Equal(old) || !l.keeper.Settled() {
+		l.writeWord(w)
+	}
+}
+
+// silentMember is after how long without a beat a member counts as not heard.
+const silentMember = 3 * beatEvery
+
+// zoneSeen is how a zone's machines are heard.
+type zoneSeen struct {
+	up, heard bool
+	last      clock.Micros // when the last of them may have been answered
+}
+
+func (l *lead) zones(now clock.Micros) map[string]*zoneSeen {
+	out := map[string]*zoneSeen{}
+	for _, m := range l.lg.Machines {
+		z := out[m.Zone]
+		if z == nil {
+			z = &zoneSeen{}
+			out[m.Zone] = z
+		}
+		z.last = max(z.last, m.LastHeard())
+		if m.UpAt != 0 || m.Since < l.since { // one that boots says nothing of its zone
+			z.up = true
+			z.heard = z.heard || now-max(m.Heard, l.since) < l.freshFor()
+		}
+	}
+	return out
+}
+
+func (l *lead) writeWord(w vouch.Word) {
+	v, err := wordRecord{Word: w}.MarshalJSON()
+	if err != nil || len(v) > int(l.c.cfg.Deployment.State.ValueKB*1024) {
+		return
+	}
+	version, ok := l.keeper.Write(w)
+	if !ok {
+		return
+	}
+	l.writeRev(&state.Write{
+		Rank: state.Vital,
+		If:   []wire.Condition{{Key: keyWord, Version: version}},
+		Then: []wire.Change{{Put: keyWord, Value: v}},
+	}, func(o state.Outcome, rev uint64) {
+		switch o {
+		case state.Committed:
+			l.keeper.Committed(rev)
+			l.c.seenWord(w, rev)
+			l.c.log.Info("word left of who is not heard", "zones", slices.Sorted(maps.Keys(w.Zones)), "members", slices.Sorted(maps.Keys(w.Members)))
+		case state.Unknown:
+			l.keeper.Open()
+		default:
+			l.keeper.Refused()
+		}
+		if o != state.Committed {
+			// The view tells the version by the time of the next look.
+			l.c.view.wantSync(func(error) {}, clock.Now()+2*clock.Second)
+		}
+		l.opened()
+		if len(l.opening) > 0 {
+			l.leaveWord(clock.Now())
+		}
+	})
+}
+
+// waiting is a report from a zone whose reports are not answered.
+type waiting struct {
+	rep *wire.Report
+	r   *server.Reply
+	at  clock.Micros
+}
+
+// mustWait tells whether a report has to wait until the word about its zone is
+// taken back, and takes care of that.
+func (l *lead) mustWait(rep *wire.Report, r *server.Reply, now clock.Micros) bool {
+	if !l.keeper.Zone(rep.Zone) {
+		return false
+	}
+	if m := l.lg.Machines[rep.Machine]; m != nil && !rep.Newer(m.Session, m.Seq) {
+		later(r, "an older report")
+		return true
+	}
+	l.held = append(l.held, waiting{rep, r, now})
+	if !l.opening[rep.Zone] {
+		l.opening[rep.Zone] = true
+		l.leaveWord(now)
+	}
+	return true
+}
+
+// opened answers the reports that waited, once nothing is promised about their
+// zones, and those that wait for too long.
+func (l *lead) opened() {
+	now := clock.Now()
+	held := l.held
+	l.held = nil
+	for _, h := range held {
+		switch {
+		case !l.keeper.Zone(h.rep.Zone):
+			l.checkin(h.rep, h.r)
+		case now-h.at > clock.Second:
+			later(h.r, "the state service does not answer")
+		default:
+			l.held = append(l.held, h)
+		}
+	}
+	for z := range l.opening {
+		if !l.keeper.Zone(z) {
+			delete(l.opening, z)
+		}
+	}
+}
+
+// promised tells whether this member knows of a promise that nobody is vouched
+// for in a zone.
+func (c *Core) promised(zone string) bool {
+	if c.lead != nil && c.lead.keeper.Zone(zone) {
+		return true
+	}
+	_, ok := c.view.word.Zones[zone]
+	return ok || c.mayPromise[zone]
+}
--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -5,14 +5,29 @@
 )
 
 // Vouched takes until when other controllers may have answered workers in this
-// leader's name or an earlier one's, as far as can be known now. No lease ends
-// sooner than one that was renewed then.
-func (l *Ledger) Vouched(until clock.Micros) { l.vouched = until }
+// leader's name or an earlier one's, as far as can be known now, and in which
+// zones something else is known. No lease ends sooner than one that was renewed
+// then.
+func (l *Ledger) Vouched(until clock.Micros, zones map[string]clock.Micros) {
+	l.vouched, l.vouchedIn = until, zones
+}
+
+// LastHeardBy takes what an earlier leader has left word of: no report of the
+// machine was answered after that. It holds as long as this leader answers none.
+func (l *Ledger) LastHeardBy(m *Machine, at clock.Micros) { m.granted = min(m.granted, at) }
+
+// LastHeard is the last instant at which a report of the machine may have been
+// answered, by members that vouch left out.
+func (m *Machine) LastHeard() clock.Micros { return m.granted }
 
 // LeaseEnd is when the machine's lease has provably run out, if nothing is
 // answered to it any more. The slack covers drift of both clocks.
 func (l *Ledger) LeaseEnd(m *Machine) clock.Micros {
-	return max(m.granted, l.vouched) + l.cfg.Lease + l.cfg.Lease/500 + clock.Second
+	vouched, ok := l.vouchedIn[m.Zone]
+	if !ok {
+		vouched = l.vouched
+	}
+	return max(m.granted, vouched) + l.cfg.Lease + l.cfg.Lease/500 + clock.Second
 }
 
 // Expire ends what was on a machine whose lease has run out. The machine has
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -347,9 +347,11 @@
 	open     int // machines not accounted for
 	settled  bool
 	vouched  clock.Micros // others may have answered workers until then
-	reports  uint64       // counts those taken, to mark what each listed
-	byName   []*Machine
-	outbox   []*Machine // machines that something may have to be sent to
+	// vouchedIn is the same for zones of which more is known.
+	vouchedIn map[string]clock.Micros
+	reports   uint64 // counts those taken, to mark what each listed
+	byName    []*Machine
+	outbox    []*Machine // machines that something may have to be sent to
 
 	// Ended collects how placements ended, until it is taken.
 	Ended []Ending
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -305,7 +305,7 @@
 	}
 	// Somebody may still hold a right of the leader before.
 	w.vouch = w.now + 20*clock.Second
-	w.lg.Vouched(w.vouch)
+	w.lg.Vouched(w.vouch, nil)
 	w.lg.Settle()
 }
 
@@ -415,7 +415,7 @@
 				// an earlier one's.
 				if w.rng.IntN(4) == 0 {
 					w.vouch = w.now + 20*clock.Second
-					w.lg.Vouched(w.vouch)
+					w.lg.Vouched(w.vouch, nil)
 				}
 				if k := worker(); !k.gone && !k.hung && w.now < w.vouch {
 					w.expire(k)
--- a/internal/vouch/vouch.go
+++ b/internal/vouch/vouch.go
@@ -12,7 +12,11 @@
 // withdrawals: see Config.
 package vouch
 
-import "firwood.dev/firwood/internal/clock"
+import (
+	"slices"
+
+	"firwood.dev/firwood/internal/clock"
+)
 
 // Config holds the times.
 type Config struct {
@@ -119,6 +123,7 @@
 type Bound struct {
 	cfg     Config
 	since   clock.Micros
+	own     clock.Micros // it may have vouched itself until then, in an earlier life
 	members map[string]*member
 }
 
@@ -128,10 +133,11 @@
 	quiet clock.Micros // nothing was vouched between this and sure
 }
 
-// NewBound makes the side of a leader that begins now. Rights that earlier
-// leaders gave, or keep for themselves, began before that.
-func NewBound(cfg Config, now clock.Micros, others []string) *Bound {
-	b := &Bound{cfg: cfg, since: now, members: map[string]*member{}}
+// NewBound makes the side of a leader that begins now and has not vouched itself
+// for so long. Rights that earlier leaders gave, or keep for themselves, began
+// before that.
+func NewBound(cfg Config, now, quietFor clock.Micros, others []string) *Bound {
+	b := &Bound{cfg: cfg, since: now, own: now - quietFor, members: map[string]*member{}}
 	for _, m := range others {
 		b.members[m] = &member{right: b.end(now)}
 	}
@@ -145,6 +151,22 @@
 	return from + b.cfg.For + slack(b.cfg.For)
 }
 
+// Known takes an earlier leader's word that a member's last right ends no later,
+// which no leader has taken back since.
+func (b *Bound) Known(name string, end clock.Micros) {
+	if m := b.members[name]; m != nil {
+		m.right = min(m.right, end)
+	}
+}
+
+// Right is the end of the last right that a member may have.
+func (b *Bound) Right(name string) clock.Micros {
+	if m := b.members[name]; m != nil {
+		return m.right
+	}
+	return 0
+}
+
 // Echoed notes that a stamp of a member, which came before `at`, is echoed from
 // now on.
 func (b *Bound) Echoed(name string, at clock.Micros) {
@@ -166,11 +188,21 @@
 	}
 }
 
-// Latest is the last instant at which another member may have vouched for a
-// worker, as far as can be known now.
-func (b *Bound) Latest(now clock.Micros) clock.Micros {
-	latest := b.since // it may have vouched itself until then
-	for _, m := range b.members {
+// Latest is the last instant at which another member, or this one in an earlier
+// life, may have vouched for a worker, as far as can be known now.
+func (b *Bound) Latest(now clock.Micros) clock.Micros { return b.LatestBut(now, "", nil) }
+
+// LatestBut is the same for a zone in which some members vouch for nobody; self
+// is this member's name.
+func (b *Bound) LatestBut(now clock.Micros, self string, but []string) clock.Micros {
+	var latest clock.Micros
+	if !slices.Contains(but, self) {
+		latest = b.own
+	}
+	for name, m := range b.members {
+		if slices.Contains(but, name) {
+			continue
+		}
 		latest = max(latest, m.quiet)
 		// It has heard this leader after `sure`, and vouches for nobody for a
 		// while after that.
@@ -180,3 +212,6 @@
 	}
 	return latest
 }
+
+// Own is until when this member may have vouched itself before it led.
+func (b *Bound) Own() clock.Micros { return b.own }
--- a/internal/vouch/vouch_test.go
+++ b/internal/vouch/vouch_test.go
@@ -82,7 +82,7 @@
 				token++
 				n := nodes[leader]
 				n.token, n.echoes = token, map[int]Stamp{}
-				n.b = NewBound(cfg, n.clock(now), others(leader))
+				n.b = NewBound(cfg, n.clock(now), n.v.QuietFor(n.clock(now)), others(leader))
 				n.synced = n.clock(now)
 			}
 			for i, n := range nodes {
