--- a/internal/core/word_test.go
+++ b/internal/core/word_test.go
@@ -39,6 +39,7 @@
 		t.Fatal("the word is not being taken back, or counts as taken back already")
 	}
 	l.keeper.Committed(9)
+	c.view.word, c.view.wordVersion = vouch.Word{}, 9
 	l.opened()
 	if len(l.held) != 0 || m.Heard == 0 {
 		t.Fatal("the report that waited is not taken")
