Lock time of a sixth of the workers' lease, 3 to 6 s, instead of a third

A leader that is cut off or stands still is missed for as long as its lock lasts, and rights that it left end that much later for its successor.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,8 +74,10 @@
 	ttl := clock.FromSeconds(tuning.LeaderTTLS)
 	if ttl == 0 {
 		// Lock expiry, election and the first answered report must all be
-		// inside a worker's lease: a third of it, within 3 to 10 seconds.
-		ttl = min(max(clock.FromSeconds(d.Workers.LeaseS)/3, 3*clock.Second), 10*clock.Second)
+		// inside a worker's lease, and a leader that is cut off or stands still is
+		// missed for as long as the lock lasts: a sixth of the lease, within 3 to
+		// 6 seconds.
+		ttl = min(max(clock.FromSeconds(d.Workers.LeaseS)/6, 3*clock.Second), 6*clock.Second)
 	}
 	c := &Core{
 		cfg: cfg, tuning: tuning, log: log, q: newQueue(),
