Sockets as one budget by need: incoming first, direct messages take what is left

Incoming connections had five sixths of the limit: at Kingston 1,805, fewer than 1,808 workers of a fleet half as large again, before any user or probe. Now both share one budget (package sockets); what goes out leaves room and gives way. When it runs out, an idle direct connection goes, then one that has asked nothing, then a user's; a worker's never does.

--- a/cmd/firwood/main.go
+++ b/cmd/firwood/main.go
@@ -135,8 +135,8 @@
 	log = log.With("member", p.Member)
 	c := core.New(p, t, log)
 	srv := server.New(server.Config{
-		Serve: p.Serve, Peer: p.PeerBind, MaxConns: p.Sockets().Inbound,
-		Idle: 90 * clock.Second, Half: 10 * clock.Second,
+		Serve: p.Serve, Peer: p.PeerBind, Sockets: c.Sockets(), MakeRoom: c.MakeRoom,
+		Idle: 90 * clock.Second, Half: 10 * clock.Second, Lease: clock.FromSeconds(p.Deployment.Workers.LeaseS),
 	}, c, log)
 	log.Info("serving", "version", version, "address", p.Serve)
 
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -13,6 +13,7 @@
 
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/http1"
+	"firwood.dev/firwood/internal/sockets"
 )
 
 // ErrLate tells that a request was not sent because its sender was no longer
@@ -48,34 +49,36 @@
 // ErrBusy tells that every connection of the pool is in use.
 var ErrBusy = errors.New("client: no connection is free")
 
-// Pool bounds the connections to many hosts together. When all are taken, the
-// one that has lain idle longest makes room.
+// Pool bounds the connections to many hosts together. When the budget allows no
+// more, the one that has lain idle longest makes room.
 type Pool struct {
-	most int
+	budget *sockets.Budget
 
 	mu   sync.Mutex
-	open int
 	idle *list.List // of *conn, the longest idle first
 }
 
-// NewPool makes a pool of at most so many connections.
-func NewPool(most int) *Pool { return &Pool{most: most, idle: list.New()} }
-
-// Open is how many connections there are.
-func (p *Pool) Open() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
+// NewPool makes a pool of connections that go out, within the budget.
+func NewPool(b *sockets.Budget) *Pool { return &Pool{budget: b, idle: list.New()} }
 
 // reserve books a connection, at the cost of an idle one if need be.
 func (p *Pool) reserve() bool {
-	p.mu.Lock()
-	if p.open < p.most {
-		p.open++
-		p.mu.Unlock()
-		return true
+	// The booking of the one that makes room passes on.
+	return p.budget.Out() || p.closeIdle()
+}
+
+// MakeRoom closes the connection that has lain idle longest; false if none does.
+func (p *Pool) MakeRoom() bool {
+	if !p.closeIdle() {
+		return false
 	}
+	p.budget.OutDone()
+	return true
+}
+
+// closeIdle closes the connection that has lain idle longest; its booking is left.
+func (p *Pool) closeIdle() bool {
+	p.mu.Lock()
 	e := p.idle.Front()
 	if e == nil {
 		p.mu.Unlock()
@@ -88,14 +91,10 @@
 	// then that host finds it missing from the list and leaves it.
 	c.c.Close()
 	c.host.forget(c)
-	return true // its booking passes on
+	return true
 }
 
-func (p *Pool) release() {
-	p.mu.Lock()
-	p.open--
-	p.mu.Unlock()
-}
+func (p *Pool) release() { p.budget.OutDone() }
 
 // claim takes an idle connection for use; false means that it made room for
 // another meanwhile.
--- a/internal/client/pool_test.go
+++ b/internal/client/pool_test.go
@@ -9,13 +9,19 @@
 	"testing"
 
 	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/sockets"
 )
 
 // A pool never has more connections than its bound, whoever calls whom; the
 // one idle longest makes room, and when none is idle the caller is told so.
 func TestPoolBound(t *testing.T) {
 	const most = 3
-	p := NewPool(most)
+	budget := sockets.New(most)
+	p := NewPool(budget)
+	held := func() int {
+		_, out := budget.Open()
+		return out
+	}
 	gate := make(chan struct{})
 	var mu sync.Mutex
 	open, peak := 0, 0
@@ -35,7 +41,7 @@
 			switch st {
 			case http.StateNew:
 				open++
-				peak = max(peak, p.Open())
+				peak = max(peak, held())
 			case http.StateClosed:
 				open--
 			}
@@ -53,7 +59,7 @@
 			if err := do(h, "/"); err != nil {
 				t.Fatalf("host %d: %v", i, err)
 			}
-			if n := p.Open(); n > most {
+			if n := held(); n > most {
 				t.Fatalf("%d connections, at most %d are allowed", n, most)
 			}
 		}
@@ -73,8 +79,8 @@
 		}
 	}
 	wg.Wait()
-	if peak > most || p.Open() > most {
-		t.Fatalf("%d connections, then %d, at most %d are allowed", peak, p.Open(), most)
+	if peak > most || held() > most {
+		t.Fatalf("%d connections, then %d, at most %d are allowed", peak, held(), most)
 	}
 	// All in use: the next caller is refused at once and knows it was not sent.
 	begun := make(chan struct{}, most)
@@ -100,7 +106,7 @@
 	for _, h := range hosts {
 		h.Close()
 	}
-	if p.Open() != 0 {
-		t.Fatalf("%d connections are left after all were closed", p.Open())
+	if held() != 0 {
+		t.Fatalf("%d connections are left after all were closed", held())
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -152,26 +152,18 @@
 	}
 }
 
-// Sockets divides the limit of sockets.
-type Sockets struct {
-	// Inbound is for workers' reports, users and probes, Workers for direct
-	// messages to workers. What is left is for the state service, the cloud, the
-	// other controllers and the listeners.
-	Inbound, Workers int
-}
-
-// outsideSockets is the part kept for everything but workers and users.
-const outsideSockets = 48
-
-// Sockets works out the division. Every worker may hold a connection in, and
-// most need none out at the same time.
-func (p *Platform) Sockets() Sockets {
+// Sockets is how many connections workers, users, probes, other controllers and
+// direct messages may have together; what is left of the limit is for calls of the
+// state service and the cloud, for the listeners, and for connections that are
+// being closed.
+func (p *Platform) Sockets() int {
 	limit := p.Deployment.Limits.MaxSockets
-	rest := limit - min(outsideSockets, limit/2)
-	out := max(rest/6, 1)
-	return Sockets{Inbound: max(rest-out, 1), Workers: out}
+	return limit - min(outsideSockets, limit/2)
 }
 
+// outsideSockets is the part kept for everything else.
+const outsideSockets = 64
+
 func positive(f float64) bool    { return f > 0 && !math.IsInf(f, 0) }
 func notNegative(f float64) bool { return f >= 0 && !math.IsInf(f, 0) }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 	"firwood.dev/firwood/internal/ledger"
 	"firwood.dev/firwood/internal/peer"
 	"firwood.dev/firwood/internal/server"
+	"firwood.dev/firwood/internal/sockets"
 	"firwood.dev/firwood/internal/state"
 	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
@@ -32,7 +33,8 @@
 	store  *state.Client
 	cloud  *cloud.Client
 	links  []*peer.Link
-	// Direct messages share a bounded part of the sockets.
+	// Direct messages share the sockets with what comes in.
+	sockets   *sockets.Budget
 	toWorkers *client.Pool
 	directs   int // how many may be under way at a time
 	teams     map[string]ledger.Team
@@ -85,8 +87,8 @@
 			RPS: d.State.RPS, WriteRPS: d.State.WriteRPS, TxnOps: d.State.TxnOps,
 		}, keyLock),
 		cloud:      cloud.New(cfg.Outside.Cloud, d.Cloud.RPS),
-		toWorkers:  client.NewPool(cfg.Sockets().Workers),
-		directs:    max(cfg.Sockets().Workers/4, 4),
+		sockets:    sockets.New(cfg.Sockets()),
+		directs:    max(cfg.Sockets()/24, 4),
 		teams:      map[string]ledger.Team{},
 		el:         election.New(election.Config{Member: cfg.Member, TTL: ttl, Slack: 50 * clock.Millisecond}),
 		beats:      map[string]*beatSeen{},
@@ -96,6 +98,7 @@
 		sentOn:     map[string]clock.Micros{},
 		stamps:     map[string]vouch.Stamp{},
 	}
+	c.toWorkers = client.NewPool(c.sockets)
 	w := &d.Workers
 	// A worker tries each other node for four seconds, and waits one before.
 	trip := clock.FromSeconds(1.25*w.ReportS) + clock.Second/2 + clock.Micros(len(cfg.Others))*5*clock.Second
@@ -110,6 +113,14 @@
 	return c
 }
 
+// Sockets is the budget of connections that the server shares with this process's
+// direct messages.
+func (c *Core) Sockets() *sockets.Budget { return c.sockets }
+
+// MakeRoom closes a direct connection that lies idle; it may be called on any
+// goroutine.
+func (c *Core) MakeRoom() bool { return c.toWorkers.MakeRoom() }
+
 // post hands a result of this process's own calls to the owner.
 func (c *Core) post(f func()) { c.q.post(rankDecision, f) }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/http1"
 	"firwood.dev/firwood/internal/peer"
+	"firwood.dev/firwood/internal/sockets"
 	"firwood.dev/firwood/wire"
 )
 
@@ -32,8 +33,12 @@
 // Config holds addresses and bounds.
 type Config struct {
 	Serve, Peer string
-	// MaxConns bounds incoming connections.
-	MaxConns int
+	// Sockets bounds the connections; MakeRoom closes one of those that the
+	// budget holds beside the incoming ones, if it can.
+	Sockets  *sockets.Budget
+	MakeRoom func() bool
+	// Lease is how long a worker may be away before its connection is of no use.
+	Lease clock.Micros
 	// Idle bounds how long a connection may lie idle, Half how long a request
 	// may take to arrive.
 	Idle, Half clock.Micros
@@ -45,6 +50,7 @@
 	app   App
 	log   *slog.Logger
 	conns map[*conn]struct{} // owned by the event loop
+	going int                // of those, told to go for others to come
 }
 
 // conn is one connection. Its parser belongs to the event loop; out is shared.
@@ -53,14 +59,27 @@
 	parser *http1.Parser
 	frames *peer.Frames
 	since  clock.Micros // when the present state began: idle, or half a request
-	busy   bool         // a request is being worked on
-	last   bool         // the peer will close after this answer
+	kind   kind
+	busy   bool // a request is being worked on
+	last   bool // the peer will close after this answer
+	going  bool // told to go
 
 	mu    sync.Mutex
 	ready *answer
 	drop  bool
 }
 
+// kind is who speaks on a connection, in the order in which they have to go when
+// sockets run out; from worker on they do not.
+type kind uint8
+
+const (
+	unknown kind = iota // has not asked anything
+	user
+	worker
+	controller
+)
+
 type answer struct {
 	status, retry int
 	body          []byte
@@ -101,7 +120,8 @@
 	failed := 0
 	for {
 		began := clock.Now()
-		s.conns = map[*conn]struct{}{}
+		s.cfg.Sockets.InDone(len(s.conns))
+		s.conns, s.going = map[*conn]struct{}{}, 0
 		err := evio.Serve(s.events(), "tcp://"+s.cfg.Serve, "tcp://"+s.cfg.Peer)
 		s.log.Error("listeners ended", "error", err)
 		if clock.Now()-began > 10*clock.Second {
@@ -126,12 +146,12 @@
 
 func (s *Server) opened(c evio.Conn) ([]byte, evio.Options, evio.Action) {
 	opts := evio.Options{ReuseInputBuffer: true}
-	if len(s.conns) >= s.cfg.MaxConns {
+	if !s.room() {
 		return nil, opts, evio.Close
 	}
 	k := &conn{ev: c, since: clock.Now()}
 	if c.AddrIndex() == 1 {
-		k.frames = &peer.Frames{}
+		k.frames, k.kind = &peer.Frames{}, controller
 	} else {
 		k.parser = http1.NewRequestParser(http1.DefaultLimits)
 	}
@@ -140,30 +160,92 @@
 	return nil, opts, evio.None
 }
 
+// room books a connection. When sockets run out, a direct connection that lies
+// idle goes, then one that has not asked anything, then a user's. The price is
+// never a worker's lease: a worker's connection, once it has reported, stays.
+func (s *Server) room() bool {
+	if s.cfg.Sockets.In() {
+		return true
+	}
+	if s.cfg.MakeRoom != nil && s.cfg.MakeRoom() && s.cfg.Sockets.In() {
+		return true
+	}
+	if s.going >= mostGoing {
+		return false
+	}
+	var least *conn
+	now := clock.Now()
+	for k := range s.conns {
+		// Who has come just now may be about to say who it is.
+		if k.kind >= worker || k.busy || k.going || now-k.since < newcomer {
+			continue
+		}
+		if least == nil || k.kind < least.kind || k.kind == least.kind && k.since < least.since {
+			least = k
+		}
+	}
+	if least == nil {
+		return false
+	}
+	s.drop(least)
+	s.cfg.Sockets.Force()
+	return true
+}
+
+const (
+	// mostGoing bounds the connections that are being closed for others.
+	mostGoing = 16
+	// newcomer is for how long a connection is left alone.
+	newcomer = clock.Second
+)
+
+// drop has a connection closed on the event loop's next round.
+func (s *Server) drop(k *conn) {
+	if !k.going {
+		k.going = true
+		s.going++
+	}
+	k.mu.Lock()
+	k.drop = true
+	k.mu.Unlock()
+	k.ev.Wake()
+}
+
 func (s *Server) closed(c evio.Conn, _ error) evio.Action {
-	if k, ok := c.Context().(*conn); ok {
+	k, ok := c.Context().(*conn)
+	if !ok {
+		return evio.None
+	}
+	if _, held := s.conns[k]; held {
 		delete(s.conns, k)
+		s.cfg.Sockets.InDone(1)
+		if k.going {
+			s.going--
+		}
 	}
 	return evio.None
 }
 
-// tick closes what lies idle, sooner when sockets run short.
+// tick closes what lies idle, what is no worker's sooner when sockets run short.
 func (s *Server) tick() (time.Duration, evio.Action) {
 	now := clock.Now()
 	idle := s.cfg.Idle
-	if len(s.conns) > s.cfg.MaxConns*3/4 {
+	for s.cfg.Sockets.Tight() {
 		idle = min(idle, s.cfg.Half)
+		if s.cfg.MakeRoom == nil || !s.cfg.MakeRoom() {
+			break
+		}
 	}
 	for k := range s.conns {
 		limit := idle
-		if k.parser != nil && !k.parser.Idle() {
+		switch {
+		case k.parser != nil && !k.parser.Idle() || k.kind == unknown:
 			limit = s.cfg.Half
+		case k.kind == worker:
+			limit = max(s.cfg.Lease, s.cfg.Half)
 		}
-		if !k.busy && now-k.since > limit {
-			k.mu.Lock()
-			k.drop = true
-			k.mu.Unlock()
-			k.ev.Wake()
+		if !k.busy && !k.going && now-k.since > limit {
+			s.drop(k)
 		}
 	}
 	return time.Second, evio.None
@@ -278,6 +360,7 @@
 
 func (s *Server) route(k *conn, m *http1.Message) {
 	path, _, _ := strings.Cut(m.Target, "?")
+	k.kind = user
 	r := &Reply{c: k, At: clock.Now()}
 	need := func(method string) bool {
 		if m.Method != method {
@@ -288,6 +371,7 @@
 	}
 	switch {
 	case path == "/checkin":
+		k.kind = worker
 		if !need("POST") {
 			return
 		}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -14,6 +14,7 @@
 
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/peer"
+	"firwood.dev/firwood/internal/sockets"
 	"firwood.dev/firwood/wire"
 )
 
@@ -42,7 +43,7 @@
 		defer l.Close()
 		return l.Addr().String()
 	}
-	cfg := Config{Serve: port(), Peer: port(), MaxConns: most, Idle: 60 * clock.Second, Half: clock.Second}
+	cfg := Config{Serve: port(), Peer: port(), Sockets: sockets.New(most), Idle: 60 * clock.Second, Half: clock.Second}
 	s := New(cfg, app, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	go s.Run() //nolint:errcheck // runs until the test process ends
 	for i := 0; i < 200; i++ {
@@ -209,3 +210,64 @@
 		t.Fatalf("%d of 12 connections were closed with a bound of 5", closed)
 	}
 }
+
+// When sockets run out, connections that have not asked anything go, then users';
+// those of workers stay, and a worker or a probe that comes always finds room.
+func TestWorkersOutliveAFlood(t *testing.T) {
+	const workers, bound = 20, 32
+	addr, _ := start(t, &echo{}, bound)
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		if err := c.SetDeadline(time.Now().Add(30 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	ask := func(c net.Conn, path, body string) error {
+		method := "GET"
+		if body != "" {
+			method = "POST"
+		}
+		if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body); err != nil {
+			return err
+		}
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			res.Body.Close()
+		}
+		return err
+	}
+	report := func(c net.Conn) error { return ask(c, "/checkin", `{"box":"i-1","shift":1,"tick":1}`) }
+	var held []net.Conn
+	for i := 0; i < workers; i++ {
+		c := dial()
+		if err := report(c); err != nil {
+			t.Fatalf("worker %d: %v", i, err)
+		}
+		held = append(held, c)
+	}
+	for round := 0; round < 3; round++ {
+		for i := 0; i < 2*bound; i++ {
+			dial() // and says nothing
+		}
+		time.Sleep(newcomer.Duration() + 100*time.Millisecond)
+		if err := ask(dial(), "/up", ""); err != nil {
+			t.Fatalf("round %d: a probe finds no room: %v", round, err)
+		}
+		if c := dial(); len(held) < bound-8 {
+			if err := report(c); err != nil {
+				t.Fatalf("round %d: a new worker finds no room: %v", round, err)
+			}
+			held = append(held, c)
+		}
+		for i, c := range held {
+			if err := report(c); err != nil {
+				t.Fatalf("round %d: worker %d has lost its connection: %v", round, i, err)
+			}
+		}
+	}
+}
