The token rises so that copies of answered direct starts are void

A run sent straight and answered, repeated after its reap, started the task again under an unchanged token and session; the guard covered only starts without an answer. An attempt that was started so is now forgotten only when its worker has seen a higher token: the revision of a later transaction that was conditional on the lock, at most once in half a lease. Those who vouch hear of it two beats before it is used.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -308,7 +308,7 @@
 		return
 	}
 	c.log.Info("lead given up", "why", why, "token", c.lead.token)
-	c.voucher.Led(c.lead.token, c.lead.knewAt)
+	c.voucher.Led(c.lead.lg.Issued(), c.lead.knewAt)
 	c.lead.close()
 	c.lead = nil
 	c.rebuilding = false
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -59,6 +59,11 @@
 	opening map[string]bool
 	held    []waiting
 
+	// raiseAt is when the token that was issued last is used, raisedAt when the
+	// one before was issued.
+	raiseAt, issuedAt clock.Micros
+	issuing           bool
+
 	saving    int // progress writes under way
 	directing int // direct messages under way
 }
@@ -221,7 +226,7 @@
 	if l.mustWait(rep, r, now) {
 		return
 	}
-	reply := wire.Reply{Token: l.token}
+	var reply wire.Reply
 	m := l.lg.Machines[rep.Machine]
 	if m == nil {
 		if _, ok := l.gone[rep.Machine]; !ok {
@@ -248,6 +253,7 @@
 			l.dirty = true
 		}
 	}
+	reply.Token = l.lg.Token()
 	if reply.Commands == nil {
 		reply.Commands = []wire.Command{}
 	}
@@ -332,6 +338,7 @@
 		}
 		l.watchJobs(now)
 		l.list(now)
+		l.raiseToken(now)
 		l.logFleet(now)
 		l.dirty = true
 	}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -19,6 +19,7 @@
 	keyLock      = prefix + "lead"
 	keyTypes     = prefix + "types"
 	keyWord      = prefix + "word"
+	keyToken     = prefix + "token"
 	prefixJob    = prefix + "job/"
 	prefixDone   = prefix + "done/"
 	prefixHire   = prefix + "hire/"
--- /dev/null
+++ b/internal/core/token.go
@@ -0,0 +1,34 @@
+package core
+
+import (
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/state"
+	"firwood.dev/firwood/wire"
+)
+
+// raiseToken has the token rise while attempts cannot be forgotten without that;
+// see package ledger. A worker takes a higher token for a change once in half its
+// lease, so oftener would be of no use.
+func (l *lead) raiseToken(now clock.Micros) {
+	if l.raiseAt != 0 && now >= l.raiseAt {
+		l.raiseAt = 0
+		l.lg.Raise()
+	}
+	every := clock.FromSeconds(l.c.cfg.Deployment.Workers.LeaseS) / 2
+	if l.issuing || l.raiseAt != 0 || now-max(l.issuedAt, l.since) < every || !l.lg.WantsToken() {
+		return
+	}
+	l.issuing = true
+	l.writeRev(&state.Write{Rank: state.Needed, Then: []wire.Change{{Put: keyToken, Value: []byte(`{}`)}}}, func(o state.Outcome, rev uint64) {
+		l.issuing = false
+		if o != state.Committed {
+			return
+		}
+		l.issuedAt = clock.Now()
+		l.lg.Issue(rev)
+		// Those who vouch hear of it first: they could not answer a worker that
+		// has seen a higher token than they know.
+		l.raiseAt = l.issuedAt + 2*beatEvery
+		l.c.nextBeat = 0
+	})
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -385,7 +385,7 @@
 	}
 	b.Workers = uint32(len(c.workers))
 	if c.lead != nil {
-		b.Leader, b.Token = c.cfg.Member, c.lead.token
+		b.Leader, b.Token = c.cfg.Member, c.lead.lg.Issued()
 		for id, j := range c.lead.lg.Jobs {
 			if !j.Withdrawn && (j.Running > 0 || j.DoneCount() > 0) {
 				b.Counts = append(b.Counts, peer.Count{Job: id, Done: uint32(j.DoneCount()), Running: uint32(j.Running)})
@@ -413,7 +413,7 @@
 // reach the leader is never kept from it.
 func (c *Core) vouchFor(rep *wire.Report, r *server.Reply, now clock.Micros) bool {
 	if c.lead != nil {
-		c.voucher.Led(c.lead.token, c.lead.knewAt)
+		c.voucher.Led(c.lead.lg.Issued(), c.lead.knewAt)
 	}
 	if !c.view.loaded || c.promised(rep.Zone) {
 		return false
--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -44,6 +44,7 @@
 		l.end(p, WhyVanished, now)
 	}
 	clear(m.lateIDs)
+	clear(m.sent)
 	l.account(m)
 	return true
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -14,6 +14,9 @@
 //     stays possible until the session grows, the machine is gone, or the
 //     worker has seen a higher token. An attempt is never forgotten while such
 //     a start may be on its way: it would run again.
+//     A start that was sent straight and answered may come again, as a copy: its
+//     attempt is not forgotten before the worker has seen a higher token than
+//     that of the start. For that the token rises now and then.
 //  3. Attempts of a task only grow, over all leaders: the token is their upper
 //     part.
 //  4. What an earlier leader started is in doubt until every machine that may
@@ -276,7 +279,11 @@
 	outbox   bool           // listed in the ledger's outbox
 	exits    []exit
 	lateIDs  map[attemptKey]bool // attempts that a late direct start may bring back
-	directs  bool                // a direct message is out
+	// sent are the tokens of direct starts, of which copies may come, by attempt;
+	// token is the highest that the worker has said it has seen.
+	sent    map[attemptKey]uint64
+	token   uint64
+	directs bool // a direct message is out
 	// Reports of sessions before this one are void.
 	minSession uint64
 }
@@ -344,9 +351,13 @@
 	use      map[string]*Resources
 	doubt    map[string]*Resources
 	counter  uint64
-	open     int // machines not accounted for
-	settled  bool
-	vouched  clock.Micros // others may have answered workers until then
+	// token is what messages carry, issued the highest that may be seen: it is told
+	// to those who vouch before it is used. Both begin as the lock's.
+	token, issued uint64
+	heldBack      bool // an attempt was not forgotten for want of a higher token
+	open          int  // machines not accounted for
+	settled       bool
+	vouched       clock.Micros // others may have answered workers until then
 	// vouchedIn is the same for zones of which more is known.
 	vouchedIn map[string]clock.Micros
 	reports   uint64 // counts those taken, to mark what each listed
@@ -364,7 +375,7 @@
 func New(cfg Config) *Ledger {
 	return &Ledger{
 		cfg: cfg, Jobs: map[string]*Job{}, Machines: map[string]*Machine{},
-		use: map[string]*Resources{}, doubt: map[string]*Resources{},
+		use: map[string]*Resources{}, doubt: map[string]*Resources{}, token: cfg.Token, issued: cfg.Token,
 	}
 }
 
@@ -470,7 +481,7 @@
 	m := &Machine{
 		Name: name, Type: typ, Zone: zone, Spot: spot, Cap: size, Since: now, IdleAt: now, granted: now,
 		Images: map[string]clock.Micros{}, places: map[string]*Placement{}, FaultyJobs: map[string]bool{},
-		lateIDs: map[attemptKey]bool{},
+		lateIDs: map[attemptKey]bool{}, sent: map[attemptKey]uint64{},
 	}
 	if l.settled {
 		m.Accounted = true
@@ -528,7 +539,7 @@
 // Attempt returns a number greater than every earlier one.
 func (l *Ledger) Attempt() uint64 {
 	l.counter++
-	return l.cfg.Token<<20 | l.counter&(1<<20-1)
+	return l.token<<20 | l.counter&(1<<20-1)
 }
 
 // WithinLimit tells whether a team may use that much more.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -60,6 +60,7 @@
 	done    map[string]map[int]bool
 	over    map[string]bool
 	held    []heldDirect
+	old     []heldDirect // carried out before; copies of them may come
 	limit   int64
 	starts  int
 	copies  []*wire.Report
@@ -221,6 +222,7 @@
 	if ok {
 		k.token = h.msg.Token
 		w.exec(k, h.msg.Commands)
+		w.old = append(w.old, heldDirect{worker: k, msg: h.msg})
 	}
 	rep := w.report(k)
 	if h.ledger != w.lg || h.m == nil {
@@ -261,7 +263,7 @@
 	if fate == 1 {
 		return
 	}
-	k.answer, k.answerToken, k.answerAt, k.hasAnswer = cmds, w.token, w.now, true
+	k.answer, k.answerToken, k.answerAt, k.hasAnswer = cmds, w.lg.Token(), w.now, true
 	if fate > 3 {
 		w.answered(k)
 	}
@@ -441,6 +443,22 @@
 					w.lg.Orders(m, w.now) // nobody waits for the answer any more
 				}
 			},
+			"again": func() {
+				// A copy of a direct message that was carried out comes again.
+				if len(w.old) > 0 {
+					i := len(w.old) - 1 - w.rng.IntN(min(len(w.old), 8))
+					w.direct(heldDirect{worker: w.old[i].worker, msg: w.old[i].msg})
+				}
+			},
+			"issue": func() {
+				// The token rises, or one that was issued is used.
+				if w.rng.IntN(4) == 0 {
+					w.token++
+					w.lg.Issue(w.token)
+				} else if w.rng.IntN(2) == 0 {
+					w.lg.Raise()
+				}
+			},
 			"late": func() {
 				if len(w.held) == 0 {
 					return
--- a/internal/ledger/orders.go
+++ b/internal/ledger/orders.go
@@ -57,6 +57,9 @@
 			continue // invariant 5
 		case m.lateIDs[attemptKey{e.id, e.attempt}]:
 			continue // invariant 2
+		case m.sent[attemptKey{e.id, e.attempt}] != 0:
+			l.heldBack = true
+			continue // the same, of a copy
 		}
 		if p := m.places[e.id]; p != nil && p.Attempt == e.attempt {
 			continue
@@ -120,6 +123,7 @@
 		p.Phase = Sent
 		if direct {
 			p.directOut++
+			p.Machine.sent[attemptKey{p.id, p.Attempt}] = l.token
 		} else {
 			p.sentSeq = p.Machine.Seq
 		}
@@ -161,7 +165,7 @@
 	}
 	// With nothing to say to a worker that may be deaf, an empty message asks.
 	m.directs = true
-	return &wire.Direct{Token: l.cfg.Token, Session: m.Session, Commands: cmds}, starts
+	return &wire.Direct{Token: l.token, Session: m.Session, Commands: cmds}, starts
 }
 
 // DirectResult is how a direct message ended.
@@ -180,6 +184,9 @@
 	}
 	l.toSend(m)
 	for _, p := range starts {
+		if r == NotSent && !p.late {
+			delete(m.sent, attemptKey{p.id, p.Attempt})
+		}
 		if m.places[p.id] != p {
 			// Ended meanwhile, say by an exit that a report showed. The attempt
 			// was held back from being forgotten while the message was out.
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"maps"
+
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/wire"
 )
@@ -25,9 +27,12 @@
 }
 
 func (l *Ledger) report(m *Machine, r *wire.Report, now clock.Micros, own bool) ReportResult {
-	if r.Token > l.cfg.Token {
+	if r.Token > l.issued {
 		return Deposed
 	}
+	if r.Token > l.token {
+		l.token = r.Token // somebody who vouches has told it first
+	}
 	if !r.Newer(m.Session, m.Seq) || r.Session < m.minSession {
 		return Stale
 	}
@@ -44,7 +49,11 @@
 	if r.NoticeS != nil {
 		m.TakenAt = now + max(clock.FromSeconds(*r.NoticeS), 1)
 	}
-	synced := r.Token == l.cfg.Token
+	synced := r.Token >= l.cfg.Token
+	if r.Token > m.token {
+		m.token = r.Token
+		maps.DeleteFunc(m.sent, func(_ attemptKey, t uint64) bool { return t < m.token })
+	}
 	m.exits = m.exits[:0]
 	l.reports++
 	listed := 0
@@ -82,6 +91,7 @@
 		}
 	}
 	clear(m.lateIDs)
+	clear(m.sent)
 	clear(m.Images)
 }
 
