Hires and marks are written conditional on their key, against late and repeated writes

The first record of a hire, carried out late or again after the second, took back the names of its machines: the next leader would not have waited for them before clearing its doubts. Likewise a mark over progress. A machine of an earlier leader that nobody has heard and the cloud does not list is given up.

--- a/internal/core/durable.go
+++ b/internal/core/durable.go
@@ -20,13 +20,30 @@
 		return
 	}
 	a.marking = true
-	l.write(&state.Write{Rank: state.Needed, Then: []wire.Change{progress(id, 0, nil)}}, func(o state.Outcome) {
-		a.marking = false
-		if o == state.Committed {
-			j.Marked = true
-			a.chunks = max(a.chunks, 1)
-		}
+	// Conditional on the key's absence: one that is carried out late, or again,
+	// must not take back progress that was written meanwhile.
+	w := &state.Write{Rank: state.Needed, If: []wire.Condition{{Key: doneKey(id, 0)}}, Then: []wire.Change{progress(id, 0, nil)}}
+	marked := func() {
+		j.Marked = true
+		a.chunks = max(a.chunks, 1)
+	}
+	l.write(w, func(o state.Outcome) {
 		l.dirty = true
+		switch o {
+		case state.Committed:
+			a.marking = false
+			marked()
+		case state.Refused:
+			a.marking = false
+		default: // it may be there already
+			l.c.view.wantSync(func(error) {
+				a.marking = false
+				if l.c.view.done[id] != nil {
+					marked()
+				}
+				l.dirty = true
+			}, clock.Now()+2*clock.Second)
+		}
 	})
 }
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -253,13 +253,28 @@
 				l.listAt = now + 3*clock.Second
 				return
 			}
+			names := make(map[string]bool, len(all))
 			for i := range all {
 				l.listed(&all[i], now)
+				names[all[i].ID] = true
 			}
+			l.unlisted(names, now)
 		})
 	}()
 }
 
+// unlisted gives up machines that an earlier leader rented, that nobody has heard
+// and that the cloud does not list: they are gone, though a record names them.
+func (l *lead) unlisted(names map[string]bool, now clock.Micros) {
+	late := clock.FromSeconds(2*l.c.cfg.Deployment.Cloud.ListLagS) + clock.Second
+	for name, m := range l.lg.Machines {
+		if m.UpAt == 0 && m.Since < l.since && !names[name] && now-m.Since > l.pl.StuckAfter(m.Type)+late {
+			l.c.log.Info("machine not listed", "machine", name)
+			l.delete(m)
+		}
+	}
+}
+
 func (l *lead) listed(k *wire.ListedMachine, now clock.Micros) {
 	if _, ok := l.gone[k.ID]; ok {
 		return // the list lags
--- a/internal/core/hires.go
+++ b/internal/core/hires.go
@@ -20,7 +20,8 @@
 	at       clock.Micros
 	resolved bool // the cloud has answered
 	writing  bool
-	stale    bool // the record has to be written again
+	stale    bool   // the record has to be written again
+	version  uint64 // of the record as last known
 }
 
 // hiresAtOnce bounds the rentals under way: what the cloud answers in a second
@@ -44,7 +45,9 @@
 	}
 }
 
-// recordHire writes the hire's record until it is durable, then goes on.
+// recordHire writes the hire's record until it is durable, then goes on. Each
+// write is conditional on the record's version: one that is carried out late, or
+// again, must not take back the names of machines that have tasks by then.
 func (l *lead) recordHire(h *hire, then func()) {
 	if h.writing {
 		h.stale = true
@@ -62,11 +65,19 @@
 		c.Value = v
 	}
 	dropped := c.Delete != ""
-	l.write(&state.Write{Rank: state.Needed, Then: []wire.Change{c}}, func(o state.Outcome) {
-		h.writing = false
+	w := &state.Write{
+		Rank: state.Needed, If: []wire.Condition{{Key: prefixHire + h.name, Version: h.version}}, Then: []wire.Change{c},
+	}
+	l.writeRev(w, func(o state.Outcome, rev uint64) {
+		if o != state.Committed {
+			l.rereadHire(h, func() { l.recordHire(h, then) })
+			return
+		}
+		h.writing, h.version = false, rev
+		if dropped {
+			h.version = 0
+		}
 		switch {
-		case o != state.Committed:
-			l.after(200*clock.Millisecond, func() { l.recordHire(h, then) })
 		case h.stale:
 			l.recordHire(h, then)
 		default:
@@ -78,6 +89,26 @@
 	})
 }
 
+// rereadHire learns the version of a hire's record, a little later.
+func (l *lead) rereadHire(h *hire, then func()) {
+	l.after(200*clock.Millisecond, func() {
+		l.c.view.wantSync(func(err error) {
+			switch {
+			case l.closed:
+				return
+			case err != nil:
+				l.rereadHire(h, then)
+				return
+			}
+			h.writing, h.version = false, 0
+			if rec := l.c.view.hires[h.name]; rec != nil {
+				h.version = rec.version
+			}
+			then()
+		}, clock.Now()+2*clock.Second)
+	})
+}
+
 func (l *lead) sendHire(h *hire) {
 	if !l.c.entitled() {
 		l.after(300*clock.Millisecond, func() { l.sendHire(h) })
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -139,7 +139,7 @@
 
 	wall := clock.Wall()
 	for name, rec := range c.view.hires {
-		h := &hire{name: name, rec: *rec, at: now - max(wall-clock.Micros(rec.At), 0), resolved: rec.Resolved}
+		h := &hire{name: name, rec: *rec, version: rec.version, at: now - max(wall-clock.Micros(rec.At), 0), resolved: rec.Resolved}
 		l.hires[name] = h
 		for _, m := range rec.Machines {
 			l.addMachine(h, m).Recorded = true
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -65,6 +65,8 @@
 	At       int64    `json:"at"`
 	Resolved bool     `json:"ok,omitempty"`
 	Machines []string `json:"m,omitempty"`
+
+	version uint64
 }
 
 // wordRecord is the value of the key for what a leader leaves word of.
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -284,6 +284,7 @@
 			c.malformed(key, err)
 			return
 		}
+		r.version = version
 		v.hires[key[len(prefixHire):]] = r
 	}
 }
