--- /dev/null
+++ b/internal/core/repeat_test.go
@@ -0,0 +1,79 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/planner"
+	"firwood.dev/firwood/internal/standin"
+	"firwood.dev/firwood/internal/state"
+	"firwood.dev/firwood/wire"
+)
+
+// work runs what is posted to the owner until the condition holds.
+func work(t *testing.T, c *Core, done func() bool) {
+	t.Helper()
+	for i := 0; i < 20000; i++ {
+		for _, f := range c.q.take() {
+			f()
+		}
+		c.startSync()
+		c.view.expireWaiters(clock.Now())
+		if done() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("it does not come about")
+}
+
+// Every transaction of a hire's and a mark's life comes again, at any later time:
+// none takes back what a later one has written.
+func TestRepeatedWritesTakeNothingBack(t *testing.T) {
+	s, stop := standin.NewState()
+	defer stop()
+	l := rebuilt(t)
+	c := l.c
+	c.store = state.New(s.Addr, state.Limits{RPS: 1000, WriteRPS: 1000, TxnOps: 16}, keyLock)
+	var token uint64
+	c.store.Commit(&state.Write{If: []wire.Condition{{Key: keyLock}}, Then: []wire.Change{{Put: keyLock, Value: []byte(`{"m":"a"}`)}}, Done: func(_ state.Outcome, rev uint64) {
+		c.post(func() { token = rev })
+	}})
+	work(t, c, func() bool { return token != 0 })
+	c.view.hires, c.view.loaded, c.view.rev = map[string]*hireRecord{}, true, token
+	l = newLead(c, token)
+	l.deadline.Store(1 << 62)
+	c.lead = l
+	l.rent(planner.Rent{Pool: planner.Pool{Type: "big", Zone: "x"}, Count: 2}, clock.Now())
+	var h *hire
+	for _, h = range l.hires {
+	}
+	work(t, c, func() bool { return h.version != 0 })
+	l.hired(h, []string{"i-1", "i-2"}, nil)
+	work(t, c, func() bool { return l.lg.Machines["i-1"].Recorded })
+	j := l.lg.AddJob(&wire.Job{ID: "req-000001", Kind: wire.KindArray, Team: "t", Tasks: 3}, 0, 1, false, nil)
+	l.jobs[j.Spec.ID] = &jobAux{}
+	l.mark(j)
+	work(t, c, func() bool { return j.Marked })
+	before := map[string]string{}
+	for _, k := range s.Keys(prefix) {
+		before[k] = s.Value(k)
+	}
+	for _, body := range s.Transactions() {
+		s.Repeat(body)
+	}
+	for k, v := range before {
+		if s.Value(k) != v {
+			t.Errorf("%s was %s, after the repeats %s", k, v, s.Value(k))
+		}
+	}
+	if len(before) < 3 {
+		t.Fatalf("only %v written", before)
+	}
+	// An open end: the transaction was carried out, its answer lost. The next write
+	// finds the version that it left.
+	h.version = 1
+	l.recordHire(h, func() { h.version |= 1 << 40 })
+	work(t, c, func() bool { return h.version>>40 == 1 })
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -30,6 +30,7 @@
 	leases map[uint64]*grant
 	next   uint64
 	down   bool
+	txns   []wire.Txn // all that were carried out
 }
 
 type entry struct {
@@ -119,6 +120,30 @@
 	return out
 }
 
+// Value is what a key holds, empty if there is none.
+func (s *State) Value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.keys[key]; e != nil {
+		return string(e.value)
+	}
+	return ""
+}
+
+// Transactions are those that were carried out so far.
+func (s *State) Transactions() []wire.Txn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]wire.Txn(nil), s.txns...)
+}
+
+// Repeat carries a transaction out again, as a copy that comes late would be.
+func (s *State) Repeat(t wire.Txn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.carry(t)
+}
+
 func (s *State) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -220,10 +245,22 @@
 		reply(w, 400, struct{}{})
 		return
 	}
+	switch failed, ok := s.carry(t); {
+	case !ok:
+		reply(w, 400, wire.ErrorBody{Error: "no such lease"})
+	case failed != nil:
+		reply(w, 409, wire.TxnResult{Revision: s.rev, Failed: failed})
+	default:
+		reply(w, 200, wire.TxnResult{Revision: s.rev})
+	}
+}
+
+// carry carries a transaction out, or tells which conditions failed; not ok means
+// that a lease is gone. The lock is held.
+func (s *State) carry(t wire.Txn) (_ []string, ok bool) {
 	for _, c := range t.Then {
 		if c.Put != "" && c.Lease != 0 && s.leases[c.Lease] == nil {
-			reply(w, 400, wire.ErrorBody{Error: "no such lease"})
-			return
+			return nil, false
 		}
 	}
 	var failed []string
@@ -237,11 +274,11 @@
 		}
 	}
 	if failed != nil {
-		reply(w, 409, wire.TxnResult{Revision: s.rev, Failed: failed})
-		return
+		return failed, true
 	}
 	if len(t.Then) > 0 {
 		s.rev++
+		s.txns = append(s.txns, t)
 	}
 	for _, c := range t.Then {
 		if c.Delete != "" {
@@ -254,7 +291,7 @@
 		s.log = append(s.log, logged{c.Put, wire.Event{Put: c.Put, Value: []byte(v), Version: s.rev}})
 	}
 	s.cond.Broadcast()
-	reply(w, 200, wire.TxnResult{Revision: s.rev})
+	return nil, true
 }
 
 func (s *State) watch(w http.ResponseWriter, prefix, since, block string) {
