--- a/internal/core/repeat_test.go
+++ b/internal/core/repeat_test.go
@@ -60,12 +60,12 @@
 	for _, k := range s.Keys(prefix) {
 		before[k] = s.Value(k)
 	}
-	for _, body := range s.Transactions() {
-		s.Repeat(body)
-	}
-	for k, v := range before {
-		if s.Value(k) != v {
-			t.Errorf("%s was %s, after the repeats %s", k, v, s.Value(k))
+	for _, txn := range s.Transactions() {
+		s.Repeat(txn)
+		for k, v := range before {
+			if s.Value(k) != v {
+				t.Fatalf("%s was %s, after a repeat %s", k, v, s.Value(k))
+			}
 		}
 	}
 	if len(before) < 3 {
