A standstill is not taken for the silence of others; no old proof goes out as new

A process that wakes after seconds counted its machines and members as silent for its own pause, and could delete, leave word, or give the lead away for it. Answers to polls now carry the time of their proof to the write. Test: TestStandstill.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,7 @@
 	// to vouch for nobody in.
 	mayPromise map[string]bool
 	times      vouch.Config
+	tickedAt   clock.Micros
 	nextBeat   clock.Micros
 	dropLogAt  clock.Micros
 	dropsTold  int64
@@ -124,7 +125,12 @@
 // post hands a result of this process's own calls to the owner.
 func (c *Core) post(f func()) { c.q.post(rankDecision, f) }
 
-const tickEvery = 50 * time.Millisecond
+const (
+	tickEvery = 50 * time.Millisecond
+	// standstill is from what gap between two ticks on the process has stood still
+	// long enough to have missed what others said.
+	standstill = 2 * clock.Second
+)
 
 // Run works until the process ends.
 func (c *Core) Run() {
@@ -149,6 +155,13 @@
 
 func (c *Core) tick() {
 	now := clock.Now()
+	if c.tickedAt != 0 && now-c.tickedAt > standstill {
+		c.log.Info("stood still", "for_s", (now - c.tickedAt).Seconds())
+		if c.lead != nil {
+			c.lead.woke(now)
+		}
+	}
+	c.tickedAt = now
 	c.view.expireWaiters(now)
 	c.startSync()
 	c.act(c.el.Tick(now))
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -48,7 +48,7 @@
 // handOver gives the lead to a controller that the workers do reach: their
 // leases would run out while this one renews its lock.
 func (l *lead) handOver(h hearing, now clock.Micros) bool {
-	if now-l.since < l.silentAfter() {
+	if now-l.awake < l.silentAfter() {
 		return false
 	}
 	for _, b := range l.c.beats {
@@ -102,7 +102,7 @@
 			z = &hearing{}
 			zones[m.Zone] = z
 		}
-		fresh := now-max(m.Heard, l.since) < l.freshFor()
+		fresh := now-max(m.Heard, l.awake) < l.freshFor()
 		z.add(fresh)
 		all.add(fresh)
 	}
@@ -115,7 +115,7 @@
 		if a == nil || a.deleting {
 			continue
 		}
-		quiet := now - max(m.Heard, l.since)
+		quiet := now - max(m.Heard, l.awake)
 		switch {
 		case l.lg.LeaseEnd(m) <= now && (m.UpAt != 0 || !m.Accounted):
 			// Its tasks are provably over, and it is of no use.
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -25,6 +25,9 @@
 	// deadline is the end of the entitlement, 0 once closed.
 	deadline atomic.Int64
 	since    clock.Micros
+	// awake is since when this process has been able to hear anybody: what was
+	// silent while it stood still itself is not taken for silent.
+	awake clock.Micros
 
 	hires    map[string]*hire
 	machines map[string]*machineAux
@@ -94,7 +97,7 @@
 	now := clock.Now()
 	d := &c.cfg.Deployment
 	l := &lead{
-		c: c, token: token, since: now, dirty: true,
+		c: c, token: token, since: now, awake: now, dirty: true,
 		hires: map[string]*hire{}, machines: map[string]*machineAux{}, jobs: map[string]*jobAux{},
 		gone: map[string]clock.Micros{}, unknown: map[string]clock.Micros{},
 	}
@@ -208,6 +211,9 @@
 // on any goroutine, right before something is sent.
 func (l *lead) until() clock.Micros { return clock.Micros(l.deadline.Load()) }
 
+// woke takes the news that the process has stood still.
+func (l *lead) woke(now clock.Micros) { l.awake, l.pl.Awake = now, now }
+
 // renew takes over the election's view of the entitlement.
 func (l *lead) renew() { l.deadline.Store(int64(l.c.el.Until())) }
 
--- a/internal/core/lead_test.go
+++ b/internal/core/lead_test.go
@@ -7,6 +7,7 @@
 
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/config"
+	"firwood.dev/firwood/internal/peer"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
@@ -98,3 +99,35 @@
 		t.Fatal("holds a worker while the leader is heard")
 	}
 }
+
+// What was silent while this process stood still is not taken for silent: nothing
+// is deleted, no word is left and the lead is not given away for it.
+func TestStandstill(t *testing.T) {
+	l := rebuilt(t, "i-1", "i-2", "i-3", "i-4")
+	l.deadline.Store(1 << 62)
+	c := l.c
+	c.lead = l
+	now := l.since
+	for _, m := range l.lg.Machines {
+		l.lg.Report(m, &wire.Report{Machine: m.Name, Addr: "127.0.0.1:1", Session: 1, Seq: 1, Token: 9}, now)
+	}
+	c.tickedAt = now
+	now += 20 * clock.Second // less than a lease
+	one := l.lg.Machines["i-1"]
+	one.Heard = now
+	c.beats["b"] = &beatSeen{beat: &peer.Beat{Member: "b", Served: true, Workers: 4}, at: now}
+	l.woke(now)
+	l.watchMachines(now)
+	if len(l.deletes) != 0 || len(l.keeper.Zones()) != 0 || l.closed {
+		t.Fatalf("after a standstill: deletes %v, word of %v, lead given up %v", l.deletes, l.keeper.Zones(), l.closed)
+	}
+	if l.pl.Awake != now {
+		t.Fatal("the planner takes machines for silent")
+	}
+	now += l.silentAfter() + clock.Second
+	one.Heard, l.lg.Machines["i-2"].Heard = now, now
+	l.watchMachines(now)
+	if len(l.deletes) != 2 {
+		t.Fatalf("machines that stay silent afterwards: deleted %v", l.deletes)
+	}
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -210,13 +210,18 @@
 	}
 	c.view.wantSync(func(err error) {
 		rec := c.view.jobs[id]
+		// A process that stands still after this proof must not tell it as if it
+		// were new: somebody may have been told of the job's end meanwhile.
+		until := clock.Now() + userWait
 		switch {
 		case err != nil:
 			later(r, err.Error())
 		case rec == nil:
-			r.Send(404, server.ErrorBody("no such job"), 0)
-		default:
+			r.SendUntil(404, server.ErrorBody("no such job"), 0, until)
+		case rec.over():
 			r.Send(200, c.status(id, rec), 0)
+		default:
+			r.SendUntil(200, c.status(id, rec), 0, until)
 		}
 	}, clock.Now()+userWait)
 }
--- a/internal/core/word.go
+++ b/internal/core/word.go
@@ -86,7 +86,7 @@
 		}
 		end, ok := old.Members[o.Member]
 		switch {
-		case !ok && now-l.since < silentMember:
+		case !ok && now-l.awake < silentMember:
 			continue
 		case !ok:
 			end = wall(l.bound.Right(o.Member))
@@ -118,7 +118,7 @@
 		z.last = max(z.last, m.LastHeard())
 		if m.UpAt != 0 || m.Since < l.since { // one that boots says nothing of its zone
 			z.up = true
-			z.heard = z.heard || now-max(m.Heard, l.since) < l.freshFor()
+			z.heard = z.heard || now-max(m.Heard, l.awake) < l.freshFor()
 		}
 	}
 	return out
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -121,7 +121,7 @@
 				r.zones[m.Zone] = z
 			}
 			z.up++
-			if now-max(m.Heard, pl.Since) <= pl.Fresh {
+			if pl.hears(m, now) {
 				z.heard++
 			}
 		}
@@ -135,7 +135,7 @@
 // usable tells whether a machine may get tasks now: it is heard, and nothing
 // speaks against its being told.
 func (r *round) usable(m *ledger.Machine) bool {
-	return m.Usable() && r.now >= m.DeafUntil && r.now-max(m.Heard, r.pl.Since) <= r.pl.Fresh
+	return m.Usable() && r.now >= m.DeafUntil && r.pl.hears(m, r.now)
 }
 
 // sized returns n zeroed elements, in the given memory if that is enough.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -34,8 +34,9 @@
 	// by class, where a job has no deadline of its own.
 	Due map[string]float64
 	// Fresh is how long ago a machine that can be heard may have reported last;
-	// Since is when this leader took over.
-	Fresh, Since clock.Micros
+	// Since is when this leader took over, Awake since when it has been able to
+	// hear.
+	Fresh, Since, Awake clock.Micros
 	// Kept are the zones in which somebody can keep leases alive in a cut; nil
 	// where nobody can anywhere.
 	Kept map[string]bool
@@ -222,6 +223,12 @@
 	return r.Remaining(p.Job.Spec.EstimateS, (now - p.Started).Seconds())
 }
 
+// hears tells whether a machine has reported lately, as far as this leader could
+// have heard it.
+func (pl *Planner) hears(m *ledger.Machine, now clock.Micros) bool {
+	return now-max(m.Heard, pl.Since, pl.Awake) <= pl.Fresh
+}
+
 // SetTypes takes what the cloud has on offer.
 func (pl *Planner) SetTypes(types []wire.MachineType) {
 	pl.Types = map[string]wire.MachineType{}
--- a/internal/planner/rent.go
+++ b/internal/planner/rent.go
@@ -78,7 +78,7 @@
 	}
 	boots := map[string][2]clock.Micros{}
 	for _, m := range r.machines {
-		if m.Draining || m.TakenAt != 0 || m.UpAt != 0 && r.now-max(m.Heard, r.pl.Since) > r.pl.Fresh {
+		if m.Draining || m.TakenAt != 0 || m.UpAt != 0 && !r.pl.hears(m, r.now) {
 			continue
 		}
 		boot, ok := boots[m.Type]
@@ -226,7 +226,7 @@
 			n = j.Doubts()
 		}
 		for i := range j.Tasks {
-			if p := j.Tasks[i].Place; p != nil && !p.Machine.Draining && r.now-max(p.Machine.Heard, r.pl.Since) > r.pl.Fresh {
+			if p := j.Tasks[i].Place; p != nil && !p.Machine.Draining && !r.pl.hears(p.Machine, r.now) {
 				n++
 			}
 		}
