Machines with replicas are asked for their state; those that hang or die go sooner

A machine with replicas is now asked every two seconds, any other when its report is overdue; two probes in a row without answer, while most of its zone answer, delete it. Ruled out: room (there was), the deletion itself (0.2 s).

--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -69,6 +69,7 @@
 
 	saving    int // progress writes under way
 	directing int // direct messages under way
+	probing   int // probes under way
 }
 
 // machineAux is what the ledger need not know of a machine.
@@ -77,6 +78,7 @@
 	host     *client.Host
 	notUntil clock.Micros // no direct messages before this instant
 	deleting bool
+	probes   probes
 	// booting: the cloud's last list said so. Of a machine that an earlier
 	// leader rented this alone tells that it has never come up.
 	booting bool
@@ -344,6 +346,7 @@
 		}
 		l.watchJobs(now)
 		l.list(now)
+		l.probe(now)
 		l.raiseToken(now)
 		l.logFleet(now)
 		l.dirty = true
--- a/internal/core/lead_test.go
+++ b/internal/core/lead_test.go
@@ -1,10 +1,12 @@
 package core
 
 import (
+	"errors"
 	"log/slog"
 	"slices"
 	"testing"
 
+	"firwood.dev/firwood/internal/client"
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/config"
 	"firwood.dev/firwood/internal/peer"
@@ -114,7 +116,7 @@
 	c.tickedAt = now
 	now += 20 * clock.Second // less than a lease
 	one := l.lg.Machines["i-1"]
-	one.Heard = now
+	one.Heard, l.lg.Machines["i-2"].Heard = now, now
 	c.beats["b"] = &beatSeen{beat: &peer.Beat{Member: "b", Served: true, Workers: 4}, at: now}
 	l.woke(now)
 	l.watchMachines(now)
@@ -131,3 +133,49 @@
 		t.Fatalf("machines that stay silent afterwards: deleted %v", l.deletes)
 	}
 }
+
+// A machine that answers no probe is deleted while the others of its zone answer,
+// and only then: in a cut none does, and a process that was late itself, or had no
+// connection free, has learnt nothing.
+func TestProbes(t *testing.T) {
+	fail := errors.New("no answer")
+	for _, c := range []struct {
+		name            string
+		answer          int // machines that answer, of four
+		err             error
+		late            clock.Micros
+		deleted, unsure bool
+	}{
+		{"one hangs", 3, fail, 0, true, false},
+		{"a cut", 0, fail, 0, false, false},
+		{"half are gone", 2, fail, 0, false, false},
+		{"none is free", 3, client.ErrBusy, 0, false, true},
+		{"late", 3, fail, 5 * clock.Second, false, true},
+	} {
+		l := rebuilt(t, "i-1", "i-2", "i-3", "i-4")
+		l.deadline.Store(1 << 62)
+		names := []string{"i-1", "i-2", "i-3", "i-4"}
+		for _, n := range names {
+			l.lg.Report(l.lg.Machines[n], &wire.Report{Machine: n, Session: 1, Seq: 1, Token: 9}, clock.Now())
+			l.lg.Machines[n].Heard -= 20 * clock.Second
+		}
+		l.awake -= 60 * clock.Second
+		for round := uint64(0); round < 2; round++ {
+			sent := clock.Now() - probeTimeout - c.late
+			for i, n := range names {
+				m := l.lg.Machines[n]
+				if i < c.answer {
+					l.asked(m, l.machines[n], sent, &wire.Report{Machine: n, Session: 1, Seq: 2 + round, Token: 9}, nil)
+				} else {
+					l.asked(m, l.machines[n], sent, nil, c.err)
+				}
+			}
+		}
+		if got := len(l.deletes) > 0; got != c.deleted {
+			t.Errorf("%s: deleted %v", c.name, l.deletes)
+		}
+		if c.unsure && l.machines["i-4"].probes.misses != 0 {
+			t.Errorf("%s: counted as a miss", c.name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/probe.go
@@ -0,0 +1,135 @@
+package core
+
+import (
+	"errors"
+
+	"firwood.dev/firwood/internal/client"
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/ledger"
+	"firwood.dev/firwood/wire"
+)
+
+// A machine that dies or hangs is told from its silence only after its longest
+// report interval and the way round the other controllers. Replicas on it are down
+// meanwhile. So machines with replicas are asked for their state now and then, and
+// others when their report is overdue; one that gives no answer twice, while most
+// of its zone answer, is deleted, which proves its tasks over.
+
+const (
+	// probeEvery is how often a machine with replicas is asked that says nothing.
+	probeEvery = 2 * clock.Second
+	// probeTimeout bounds a probe: a packet that is lost is sent again within it.
+	probeTimeout = 1500 * clock.Millisecond
+	// missesAllowed is how many probes in a row may stay unanswered.
+	missesAllowed = 1
+)
+
+// probes is what the ledger need not know of how a machine answers.
+type probes struct {
+	busy     bool
+	at       clock.Micros // when it was last asked
+	misses   int          // in a row
+	missedAt clock.Micros // when the first of those was asked
+	answered clock.Micros // when it last answered
+}
+
+// probe asks the machines that are due.
+func (l *lead) probe(now clock.Micros) {
+	overdue := clock.FromSeconds(1.25*l.c.cfg.Deployment.Workers.ReportS) + clock.Second/2
+	for _, m := range l.lg.ByName() {
+		a := l.machines[m.Name]
+		if a == nil || a.deleting || m.Addr == "" || m.UpAt == 0 || a.probes.busy {
+			continue
+		}
+		p := &a.probes
+		quiet := now - max(m.Heard, p.at)
+		switch {
+		case p.misses > 0 && quiet >= clock.Second/2:
+		case m.Replicas() > 0 && quiet >= probeEvery:
+		case now-max(m.Heard, l.awake) >= overdue && quiet >= probeEvery:
+		default:
+			continue
+		}
+		if l.probing >= l.c.directs {
+			return
+		}
+		l.ask(m, a, now)
+	}
+}
+
+func (l *lead) ask(m *ledger.Machine, a *machineAux, now clock.Micros) {
+	l.probing++
+	a.probes.busy, a.probes.at = true, now
+	if a.host == nil {
+		a.host = l.c.toWorkers.Host(m.Addr, 1, 4*wire.MaxBody)
+	}
+	host := a.host
+	go func() {
+		res, err := host.Do(client.Request{Method: "GET", Target: "/status", Timeout: probeTimeout, Until: l.until})
+		var rep *wire.Report
+		if err == nil && res.Status == 200 {
+			r := &wire.Report{}
+			if r.UnmarshalJSON(res.Body) == nil && r.Machine == m.Name {
+				rep = r
+			}
+		}
+		l.c.post(func() {
+			if !l.closed {
+				l.probing--
+				l.asked(m, a, now, rep, err)
+			}
+		})
+	}()
+}
+
+// asked takes the end of a probe that was sent at `sent`.
+func (l *lead) asked(m *ledger.Machine, a *machineAux, sent clock.Micros, rep *wire.Report, err error) {
+	now := clock.Now()
+	p := &a.probes
+	p.busy = false
+	if l.lg.Machines[m.Name] != m {
+		return
+	}
+	if rep != nil {
+		p.misses, p.answered = 0, now
+		if l.lg.DirectReport(m, rep, now) == ledger.Deposed {
+			l.c.fenced(l.token)
+			return
+		}
+		l.settle(now)
+		l.dirty = true
+		return
+	}
+	// Nothing is known of the machine if it was not asked, or if this process was
+	// too late itself to take the answer.
+	if errors.Is(err, client.ErrBusy) || errors.Is(err, client.ErrLate) || now-sent > probeTimeout+clock.Second/2 || sent < l.awake {
+		return
+	}
+	if p.misses == 0 {
+		p.missedAt = sent
+	}
+	p.misses++
+	if p.misses > missesAllowed && l.answering(m, p.missedAt) {
+		l.c.log.Info("machine does not answer", "machine", m.Name, "for_s", (now - max(m.Heard, p.answered)).Seconds())
+		l.delete(m)
+	}
+}
+
+// answering tells whether the way to a machine's zone is open: most of the others
+// there that were asked since have answered.
+func (l *lead) answering(m *ledger.Machine, since clock.Micros) bool {
+	answered, missed := 0, 0
+	for _, o := range l.lg.Machines {
+		a := l.machines[o.Name]
+		if o.Zone != m.Zone || a == nil {
+			continue
+		}
+		switch {
+		case max(a.probes.answered, o.Heard) > since+probeTimeout/2:
+			answered++
+		case a.probes.misses > 0:
+			missed++
+		}
+	}
+	return answered >= 2*missed
+}
