--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -28,7 +28,11 @@
 	default:
 		// Fetches share a machine's rate: when many replicas have lost their
 		// place, one machine after the other fetched every image there is.
-		s -= 10 * float64(m.Fetches())
+		per := 10.0
+		if j.Service() {
+			per = 25 // rather a machine of its own for a while than a queue of fetches
+		}
+		s -= per * float64(m.Fetches())
 	}
 	if n := j.ErrorsOn[m.Name]; n > 0 {
 		s -= 1000
