A withdrawn job may linger a thirtieth of what a cancellation leaves, not a tenth

Each second of that is one less of a right to vouch; in cuts of a lease and 24 s the leases of a zone ended one to four seconds before the cut did.

--- a/internal/vouch/vouch.go
+++ b/internal/vouch/vouch.go
@@ -35,7 +35,9 @@
 // that is sent on to a leader out of reach takes to come back. It has to be back
 // well before its lease ends, or rights would only put off the proof that it has.
 func Times(cancel, lease, gap, trip clock.Micros) Config {
-	c := Config{Gap: gap, Settle: (cancel - lease) / 10}
+	// Short, as each second of it is one less of a right: tasks of a withdrawn job
+	// are gone within a fraction of a second, unless their machine is not reached.
+	c := Config{Gap: gap, Settle: (cancel - lease) / 30}
 	c.For = cancel - lease - c.Settle - slack(cancel) - clock.Second
 	if c.For <= gap || lease < trip+trip/2 {
 		c.For = 0 // too short to be of use
