Room for replicas is made where their image is at hand

Cause (Kingston busy, debug log): of 406 starts of replicas 311 took over 2 s, all for a fetch; four images only, but batch work was stopped wherever least was lost. A second of fetch now weighs as 20 s of lost work. Ruled out: room (none of the 311 waited for it).

--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -89,6 +89,24 @@
 	return v.soft
 }
 
+// fetchLoss weighs, in lost work, the fetch that a replica would wait for on a
+// machine: on a busy day three in four of them got the places of batch work, and
+// waited for their image there.
+func (r *round) fetchLoss(j *ledger.Job, m *ledger.Machine) float64 {
+	if _, cached := m.Images[j.Spec.Image]; cached || !j.Service() {
+		return 0
+	}
+	fetch := 1.0
+	if t := r.pl.Types[m.Type]; t.FetchGBPerS > 0 {
+		fetch = j.Spec.ImageGB / t.FetchGBPerS
+	}
+	return fetchWeight * fetch * float64(j.Need.CPU)
+}
+
+// fetchWeight is how many seconds of batch work a second of a replica's wait is
+// worth.
+const fetchWeight = 20
+
 // preemptForTasks stops work for independent tasks, each time where it loses
 // least.
 func (r *round) preemptForTasks(e *entry, mayStop func(*ledger.Placement) bool) {
@@ -97,8 +115,9 @@
 	// heap of options has the highest on top.
 	weigh := func(m *ledger.Machine) (option, []*ledger.Placement, bool) {
 		have := r.room(m)
+		fetch := r.fetchLoss(j, m)
 		if j.Need.Fits(have) {
-			return option{m, 0}, nil, true
+			return option{m, -fetch}, nil, true
 		}
 		if m.Tasks() == 0 {
 			return option{}, nil, false
@@ -110,7 +129,7 @@
 			have = have.Add(vs[k].Job.Need)
 			cost += (r.now - vs[k].Since).Seconds() * float64(vs[k].Job.Need.CPU)
 		}
-		return option{m, -cost}, vs[:k], j.Need.Fits(have)
+		return option{m, -cost - fetch}, vs[:k], j.Need.Fits(have)
 	}
 	var c options
 	for _, v := range r.pools {
