--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -86,13 +86,16 @@
 
 // jobAux is what the ledger need not know of a job.
 type jobAux struct {
-	marking bool
-	writing bool
-	wroteAt clock.Micros
-	chunks  int
-	warned  bool
-	over    bool // its end is durable
-	first   int64
+	marking  bool
+	writing  bool
+	wroteAt  clock.Micros
+	chunks   int
+	warned   bool
+	over     bool    // its end is durable
+	ran      int     // tasks that this leader saw run to their end
+	runs     float64 // how long they ran in all, in seconds
+	screened bool    // they are in the screen as one run
+	first    int64
 }
 
 func newLead(c *Core, token uint64) *lead {
@@ -301,6 +304,13 @@
 		if p.Started != 0 && p.Since > l.since && !j.Service() {
 			took := (now - p.Started).Seconds()
 			l.pl.Finished(j, took, now)
+			if a := l.jobs[j.Spec.ID]; a != nil {
+				a.ran, a.runs = a.ran+1, a.runs+took
+				if j.Complete() && !a.screened {
+					a.screened = true
+					l.pl.Ran(j, a.runs/float64(a.ran), now)
+				}
+			}
 			l.c.log.Debug("task done", "job", j.Spec.ID, "task", p.Index, "machine", p.Machine.Name, "took_s", took, "estimate_s", j.Spec.EstimateS)
 		}
 	case wire.WhyError:
--- a/internal/planner/model.go
+++ b/internal/planner/model.go
@@ -228,8 +228,7 @@
 }
 
 // Finished takes the run time of a completed task.
-func (d *Demand) Finished(now clock.Micros, seconds float64, p *Params) {
-	d.Runs.Add(now, seconds)
+func (d *Demand) Finished(seconds float64, p *Params) {
 	if d.run == 0 {
 		d.run = seconds
 	} else {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -132,7 +132,14 @@
 // Finished takes a task's run time.
 func (pl *Planner) Finished(j *ledger.Job, seconds float64, now clock.Micros) {
 	pl.Class(j.Spec.Class).Observe(j.Spec.EstimateS, seconds, pl.P.SmoothService)
-	pl.demand(j).Finished(now, seconds, &pl.P)
+	pl.demand(j).Finished(seconds, &pl.P)
+}
+
+// Ran takes a job's run time, the mean of its tasks'. The screen rests on jobs, as
+// arrivals do: the tasks of an array are no draws of their own, and a thousand of
+// them from a few jobs never fit anything.
+func (pl *Planner) Ran(j *ledger.Job, seconds float64, now clock.Micros) {
+	pl.demand(j).Runs.Add(now, seconds)
 }
 
 // Booted takes the time that a machine took to report.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -573,3 +573,71 @@
 		t.Errorf("with one kept zone placed at %v", at)
 	}
 }
+
+// A replica that takes a place from batch work takes it where its image is at hand,
+// though a little more work is lost there; where much more would be, it does not.
+func TestRoomIsMadeWhereTheImageIs(t *testing.T) {
+	for _, c := range []struct {
+		ran  clock.Micros // how long the work beside the image has run
+		want string
+	}{{30 * clock.Second, "i-image"}, {600 * clock.Second, "i-bare"}} {
+		s := newScene(nil)
+		m := map[string]*ledger.Machine{}
+		for _, n := range []string{"i-bare", "i-image"} {
+			m[n] = s.machine(n, "big", "x", false)
+		}
+		m["i-image"].Images["replica"] = s.now
+		batch := s.job(wire.Job{ID: "req-000001", Tasks: 2, CPUs: 9, MemoryGB: 1, Image: "batch"})
+		for i, n := range []string{"i-image", "i-bare"} {
+			if err := s.l.Place(batch, i, m[n], s.l.Attempt(), s.now); err != nil {
+				t.Fatal(err)
+			}
+			s.now += c.ran
+		}
+		for _, k := range m {
+			k.Heard = s.now
+		}
+		for i := range batch.Tasks {
+			batch.Tasks[i].Place.Phase = ledger.Present
+		}
+		s.job(wire.Job{ID: "req-000002", Kind: wire.KindService, Priority: wire.PriorityProduction, Tasks: 1, CPUs: 8, MemoryGB: 1, Image: "replica", ImageGB: 2})
+		s.pl.Plan(s.l, s.now, s.now, nil)
+		for i := range batch.Tasks {
+			if p := batch.Tasks[i].Place; p.Stopping() != (p.Machine.Name == c.want) {
+				t.Errorf("after %d s: on %s stopping is %v, want it on %s", c.ran/clock.Second, p.Machine.Name, p.Stopping(), c.want)
+			}
+		}
+	}
+}
+
+// Replicas with many images go to more machines than would hold them: fetches
+// share a machine's rate.
+func TestFetchesAreSpread(t *testing.T) {
+	s := newScene(nil)
+	for i := 0; i < 4; i++ {
+		s.machine(fmt.Sprintf("i-%d", i), "big", "x", false)
+	}
+	most := map[string]map[string]bool{}
+	var jobs []*ledger.Job
+	for i := 0; i < 12; i++ {
+		jobs = append(jobs, s.job(wire.Job{ID: fmt.Sprintf("req-%06d", i), Kind: wire.KindService, Priority: wire.PriorityProduction,
+			Tasks: 1, CPUs: 1, MemoryGB: 1, Image: fmt.Sprintf("image-%d", i), ImageGB: 2}))
+	}
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	for _, j := range jobs {
+		j.Places(func(p *ledger.Placement) {
+			if most[p.Machine.Name] == nil {
+				most[p.Machine.Name] = map[string]bool{}
+			}
+			most[p.Machine.Name][j.Spec.Image] = true
+		})
+	}
+	for n, images := range most {
+		if len(images) > 6 {
+			t.Errorf("%s fetches %d of 12 images at a time", n, len(images))
+		}
+	}
+	if len(most) < 3 {
+		t.Errorf("all images on %d machines", len(most))
+	}
+}
