--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -110,12 +110,19 @@
 		return
 	}
 	l.leaveWord(now)
+	for z, h := range zones {
+		if !h.mostly() {
+			l.deafAt[z] = now
+		}
+	}
 	for name, m := range l.lg.Machines {
 		a := l.machines[name]
 		if a == nil || a.deleting {
 			continue
 		}
-		quiet := now - max(m.Heard, l.awake)
+		// When a zone comes back its machines do one by one: once the last two
+		// thirds of it were deleted when the first third was heard again.
+		quiet := now - max(m.Heard, l.awake, l.deafAt[m.Zone])
 		switch {
 		case l.lg.LeaseEnd(m) <= now && (m.UpAt != 0 || !m.Accounted):
 			// Its tasks are provably over, and it is of no use.
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -28,6 +28,8 @@
 	// awake is since when this process has been able to hear anybody: what was
 	// silent while it stood still itself is not taken for silent.
 	awake clock.Micros
+	// deafAt is when a zone was last not mostly heard.
+	deafAt map[string]clock.Micros
 
 	hires    map[string]*hire
 	machines map[string]*machineAux
@@ -104,7 +106,8 @@
 	l := &lead{
 		c: c, token: token, since: now, awake: now, dirty: true,
 		hires: map[string]*hire{}, machines: map[string]*machineAux{}, jobs: map[string]*jobAux{},
-		gone: map[string]clock.Micros{}, unknown: map[string]clock.Micros{},
+		deafAt: map[string]clock.Micros{},
+		gone:   map[string]clock.Micros{}, unknown: map[string]clock.Micros{},
 	}
 	l.lg = ledger.New(ledger.Config{
 		Token: token, Lease: clock.FromSeconds(d.Workers.LeaseS), Teams: c.teams,
--- a/internal/core/lead_test.go
+++ b/internal/core/lead_test.go
@@ -160,6 +160,7 @@
 			l.lg.Machines[n].Heard -= 20 * clock.Second
 		}
 		l.awake -= 60 * clock.Second
+		l.deafAt["x"] = l.awake // the clock may be younger than a probe
 		for round := uint64(0); round < 2; round++ {
 			sent := clock.Now() - probeTimeout - c.late
 			for i, n := range names {
@@ -179,3 +180,41 @@
 		}
 	}
 }
+
+// When a zone that was cut off comes back, machines that are not heard in the same
+// second as the first third of it are left their time; those that stay silent go.
+func TestAZoneComesBackOneByOne(t *testing.T) {
+	names := []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}
+	l := rebuilt(t, names...)
+	l.deadline.Store(1 << 62)
+	now := l.since
+	for _, n := range names {
+		l.lg.Report(l.lg.Machines[n], &wire.Report{Machine: n, Session: 1, Seq: 1, Token: 9}, now)
+	}
+	for end := now + l.silentAfter() + 3*clock.Second; now < end; now += clock.Second / 2 {
+		l.watchMachines(now)
+	}
+	hear := func(names ...string) {
+		for _, n := range names {
+			l.lg.Machines[n].Heard = now
+		}
+	}
+	hear("i-1", "i-2")
+	for _, n := range names[2:] {
+		l.machines[n].probes.misses = 5
+		l.asked(l.lg.Machines[n], l.machines[n], now-clock.Second, nil, errors.New("no answer"))
+	}
+	l.watchMachines(now)
+	if len(l.deletes) != 0 {
+		t.Fatalf("deleted when the zone comes back: %v", l.deletes)
+	}
+	hear("i-3", "i-4")
+	for end := now + l.silentAfter() + 3*clock.Second; now < end; now += clock.Second / 2 {
+		hear("i-1", "i-2", "i-3", "i-4")
+		l.watchMachines(now)
+	}
+	slices.Sort(l.deletes)
+	if !slices.Equal(l.deletes, []string{"i-5", "i-6"}) {
+		t.Fatalf("silent for long after that: deleted %v", l.deletes)
+	}
+}
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -102,7 +102,11 @@
 	}
 	// Nothing is known of the machine if it was not asked, or if this process was
 	// too late itself to take the answer.
-	if errors.Is(err, client.ErrBusy) || errors.Is(err, client.ErrLate) || now-sent > probeTimeout+clock.Second/2 || sent < l.awake {
+	if errors.Is(err, client.ErrBusy) || errors.Is(err, client.ErrLate) || now-sent > probeTimeout+clock.Second/2 {
+		return
+	}
+	if sent < max(l.awake, l.deafAt[m.Zone]) {
+		p.misses = 0 // the way was not open
 		return
 	}
 	if p.misses == 0 {
