A new session has a lease of its own; nothing is started in a zone left word of

Reports had always come with an answer that renewed the lease in the books; answers to probes do not. Now a new session counts from when it is first seen. Nor does a direct message go to a zone that word is left of, since the next leader reckons its leases from the word.

--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -21,7 +21,8 @@
 		if a == nil || a.deleting {
 			return false
 		}
-		if now < a.notUntil || now-m.Heard > l.silentAfter() || l.directing >= l.c.directs {
+		// Nothing is started where a later leader would take the leases for over.
+		if l.keeper.Zone(m.Zone) || now < a.notUntil || now-m.Heard > l.silentAfter() || l.directing >= l.c.directs {
 			return true
 		}
 		msg, starts := l.lg.Direct(m, now)
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -66,9 +66,10 @@
 // have come so far are echoed once the view is known to be newer than them, and
 // only while no withdrawn job is taking long to go. So what a withdrawal leaves
 // behind in a zone that is cut off ends in time; see vouch.Config.
-func (l *lead) confirm(now clock.Micros) {
+func (l *lead) confirm(now clock.Micros, then func()) {
 	stamps := maps.Clone(l.c.stamps)
 	l.c.view.wantSync(func(err error) {
+		defer then()
 		if err != nil || l.closed || !l.c.entitled() {
 			return
 		}
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -92,6 +92,9 @@
 	}
 	if rep != nil {
 		p.misses, p.answered = 0, now
+		if l.keeper.Zone(m.Zone) {
+			l.opening[m.Zone] = true // its zone is back
+		}
 		if l.lg.DirectReport(m, rep, now) == ledger.Deposed {
 			l.c.fenced(l.token)
 			return
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -372,6 +372,16 @@
 		c.dropsTold = n
 	}
 	c.judge(now)
+	if c.lead == nil || c.store.Failing(now) {
+		c.sendBeats(now)
+		return
+	}
+	// What the stamps give is confirmed first: a beat that carries it at once makes
+	// the rights of those who are cut off a second longer.
+	c.lead.confirm(now, func() { c.sendBeats(clock.Now()) })
+}
+
+func (c *Core) sendBeats(now clock.Micros) {
 	b := &peer.Beat{
 		Member: c.cfg.Member,
 		Served: c.store.LastOK() > c.store.LastRefused() && now-c.store.LastOK() < 12*clock.Second,
@@ -407,9 +417,6 @@
 		b.EchoLife, b.EchoStamp = echo.Life, echo.At
 		l.Send(peer.Encode(b))
 	}
-	if c.lead != nil {
-		c.lead.confirm(now)
-	}
 }
 
 // vouchFor keeps the lease of a worker alive that cannot reach the leader any
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -426,6 +426,14 @@
 					k.leaseFrom = w.now
 				}
 			},
+			"probe": func() {
+				// The worker is asked for its state, and says nothing else.
+				k := worker()
+				if m := w.machine(k); m != nil && !k.gone && !k.hung {
+					w.expire(k)
+					w.lg.DirectReport(m, w.report(k), w.now)
+				}
+			},
 			"outbox": func() {
 				// What has nothing due goes off the list; it must come back.
 				w.lg.Outbox(func(m *Machine) bool { return w.rng.IntN(2) == 0 || due(m) })
@@ -486,7 +494,7 @@
 			"time": func() {
 				w.now += clock.Micros(1+w.rng.IntN(2000)) * clock.Millisecond
 				if w.rng.IntN(25) == 0 {
-					w.now += 35 * clock.Second
+					w.now += clock.Micros(10+w.rng.IntN(26)) * clock.Second
 				}
 				for _, k := range w.workers {
 					w.expire(k)
@@ -702,3 +710,24 @@
 		}
 	}
 }
+
+// A worker whose lease ran out begins a new session, with a lease of its own that
+// nobody has to have answered. When that is first seen in the answer to a probe,
+// and tasks are started in it, the old session's lease proves nothing of them.
+func TestANewSessionHasALeaseOfItsOwn(t *testing.T) {
+	l, j, m := small(t, wire.KindArray, 1)
+	l.HeardBy(m, 1)
+	now := testLease - clock.Second
+	if l.DirectReport(m, reportOf(m, 2, 2, 7), now) != Taken {
+		t.Fatal("the probe's report is not taken")
+	}
+	if err := l.Place(j, 0, m, l.Attempt(), now); err != nil {
+		t.Fatal(err)
+	}
+	if msg, _ := l.Direct(m, now); msg == nil || msg.Session != 2 {
+		t.Fatal("no start in the new session")
+	}
+	if l.Expire(m, now+3*clock.Second) || j.Tasks[0].Place == nil {
+		t.Fatal("the new session's task is taken for over with the old lease")
+	}
+}
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -82,7 +82,13 @@
 
 // newSession: the worker's lease ran out and everything it had is gone, and
 // commands for the session before are refused from now on.
+//
+// The new session has a lease of its own, from its beginning on, which nobody
+// needs to have answered: once a session was first seen in the answer to a probe,
+// got tasks, and was taken for over with the lease of the one before. The tasks
+// ran twice.
 func (l *Ledger) newSession(m *Machine, now clock.Micros) {
+	m.granted = max(m.granted, now)
 	clear(m.lateIDs)
 	for _, p := range m.places {
 		if p.Phase != Assigned || p.late || p.directOut > 0 {
