Only who has promised is bound by it; no write of a word on the heels of a refused one

By reading: a member that sees word of a zone stopped vouching there though only the leader was cut off from it; and a refused write was tried again at once, in an outage without end, in a full queue without return. The next look, half a second later, tries again.

--- a/internal/core/word.go
+++ b/internal/core/word.go
@@ -148,12 +148,12 @@
 		default:
 			l.keeper.Refused()
 		}
-		if o != state.Committed {
+		l.opened()
+		switch {
+		case o != state.Committed:
 			// The view tells the version by the time of the next look.
 			l.c.view.wantSync(func(error) {}, clock.Now()+2*clock.Second)
-		}
-		l.opened()
-		if len(l.opening) > 0 {
+		case len(l.opening) > 0:
 			l.leaveWord(clock.Now())
 		}
 	})
@@ -207,12 +207,12 @@
 	}
 }
 
-// promised tells whether this member knows of a promise that nobody is vouched
-// for in a zone.
+// promised tells whether this member has, or may have, promised to vouch for nobody
+// in a zone. A member that has not may: a leader that hears nobody of a zone may
+// itself be the one that is cut off from it.
 func (c *Core) promised(zone string) bool {
-	if c.lead != nil && c.lead.keeper.Zone(zone) {
+	if c.lead != nil && c.lead.keeper.Zone(zone) || c.mayPromise[zone] {
 		return true
 	}
-	_, ok := c.view.word.Zones[zone]
-	return ok || c.mayPromise[zone]
+	return slices.Contains(c.view.word.Zones[zone].By, c.cfg.Member)
 }
--- a/internal/core/word_test.go
+++ b/internal/core/word_test.go
@@ -48,13 +48,18 @@
 		t.Fatal("a machine that was answered has its lease counted from before that")
 	}
 	// Word of a zone outlives the leader, with this member among those who know.
-	l.keeper.Seen(vouch.Word{Zones: map[string]vouch.ZoneWord{"y": {By: []string{"b"}}}}, 20)
+	l.keeper.Seen(vouch.Word{Zones: map[string]vouch.ZoneWord{"y": {By: []string{"a", "b"}}, "z": {By: []string{"b"}}}}, 20)
 	l.close()
 	c.lead = nil
 	c.view.loaded = true
 	if !c.promised("y") || c.promised("x") {
 		t.Fatal("a promise is forgotten with the lead")
 	}
+	// One who has not promised anything is free to vouch.
+	c.mayPromise, c.view.word = nil, vouch.Word{Zones: map[string]vouch.ZoneWord{"z": {By: []string{"b"}}}}
+	if c.promised("z") {
+		t.Fatal("bound by another member's promise")
+	}
 }
 
 // The zone of which nobody is heard is left word of, once; one with a machine that
