--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -218,6 +218,27 @@
 	submit(other, "req-000006", wire.KindArray, 4)
 	is(other, "req-000006", wire.JobDone)
 
+	// All controllers crash together in an outage with work under way, and are back
+	// at once; when it ends, one falls again in the middle of the election. Every
+	// job that was accepted is known to every node, and comes to its end.
+	submit(other, "req-000007", wire.KindArray, 12)
+	state.SetDown(true)
+	for _, n := range names {
+		nodes[n].kill(t)
+		nodes[n].start(t, program)
+	}
+	time.Sleep(300 * time.Millisecond)
+	state.SetDown(false)
+	nodes["n1"].kill(t)
+	nodes["n1"].start(t, program)
+	submit(nodes["n2"], "req-000008", wire.KindArray, 3)
+	for _, n := range names {
+		for _, id := range []string{"req-000001", "req-000002", "req-000004", "req-000005", "req-000006", "req-000007", "req-000008"} {
+			is(nodes[n], id, wire.JobDone)
+		}
+		is(nodes[n], "req-000003", wire.JobRunning)
+	}
+
 	// A withdrawal lasts, on every node.
 	until(t, "withdrawn", func() bool { return ask(other, "POST", "/api/jobs/req-000003/withdraw", nil).Status == 200 })
 	for _, n := range names {
