--- /dev/null
+++ b/internal/planner/guarantee_test.go
@@ -0,0 +1,44 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+
+	"firwood.dev/firwood/internal/ledger"
+	"firwood.dev/firwood/wire"
+)
+
+// A guarantee of 0 is none, in each dimension for itself: it covers nothing and
+// bounds nothing. Guarantees in cards alone once covered no job at all, since all
+// take processors too.
+func TestGuaranteesInEachDimension(t *testing.T) {
+	both := wire.Job{Tasks: 2, CPUs: 4, GPUs: 1}
+	cpus := wire.Job{Tasks: 2, CPUs: 4}
+	for _, c := range []struct {
+		name string
+		team ledger.Team
+		jobs []wire.Job
+		want []bool
+	}{
+		{"none", ledger.Team{}, []wire.Job{both, cpus}, []bool{false, false}},
+		{"cards alone", ledger.Team{GPU: 4000}, []wire.Job{both, both, both}, []bool{true, true, false}},
+		{"cards alone, a job without any", ledger.Team{GPU: 4000}, []wire.Job{cpus, both}, []bool{false, true}},
+		{"processors alone", ledger.Team{CPU: 16000}, []wire.Job{both, cpus, cpus}, []bool{true, true, false}},
+		{"both, cards short", ledger.Team{CPU: 80000, GPU: 2000}, []wire.Job{both, both}, []bool{true, false}},
+		{"both, processors short", ledger.Team{CPU: 8000, GPU: 8000}, []wire.Job{both, both}, []bool{true, false}},
+		{"what comes after one that is too large", ledger.Team{GPU: 3000}, []wire.Job{{Tasks: 4, GPUs: 1}, both}, []bool{false, false}},
+	} {
+		s := newScene(map[string]ledger.Team{"a": c.team})
+		var jobs []*ledger.Job
+		for i, w := range c.jobs {
+			w.ID, w.Team = fmt.Sprintf("req-%06d", i), "a"
+			jobs = append(jobs, s.job(w))
+		}
+		owed := s.pl.owed(s.l)
+		for i, j := range jobs {
+			if owed[j] != c.want[i] {
+				t.Errorf("%s: job %d owed: %v, want %v", c.name, i, owed[j], c.want[i])
+			}
+		}
+	}
+}
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -29,6 +29,21 @@
 	limit int   // of those, allowed by the team's limit
 }
 
+// covers tells whether a guarantee speaks of a need at all, and whether the need
+// is within it. A guarantee of 0 is none: it neither covers nor bounds what is used
+// of that resource, or jobs that take processors beside their cards would never be
+// owed anything by a guarantee in cards alone.
+func covers(g ledger.Team, need ledger.Resources) (speaks, within bool) {
+	within = true
+	for _, d := range [][2]int64{{g.CPU, need.CPU}, {g.GPU, need.GPU}} {
+		if d[0] > 0 && d[1] > 0 {
+			speaks = true
+			within = within && d[1] <= d[0]
+		}
+	}
+	return speaks, within
+}
+
 // owed tells which jobs fit into their team's guarantee together with the
 // team's earlier unfinished jobs.
 func (pl *Planner) owed(l *ledger.Ledger) map[*ledger.Job]bool {
@@ -47,10 +62,12 @@
 		var sum ledger.Resources
 		for _, j := range jobs {
 			sum = sum.Add(j.Need.Times(len(j.Tasks)))
-			if (g.CPU == 0 && sum.CPU > 0) || sum.CPU > g.CPU || sum.GPU > g.GPU {
+			if _, within := covers(g, sum); !within {
 				break
 			}
-			out[j] = true
+			if speaks, _ := covers(g, j.Need); speaks {
+				out[j] = true
+			}
 		}
 	}
 	return out
