--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -302,6 +302,10 @@
 func (l *lead) ended(e ledger.Ending, now clock.Micros) {
 	p, j := e.Placement, e.Placement.Job
 	t := &j.Tasks[p.Index]
+	if e.Why != wire.WhyDone && !j.Withdrawn {
+		l.c.log.Debug("task ended", "job", j.Spec.ID, "task", p.Index, "class", j.Spec.Class, "machine", p.Machine.Name, "why", e.Why,
+			"told", p.Stopping(), "saved", p.Saved, "state", p.State, "placed_s", (now - p.Since).Seconds())
+	}
 	switch e.Why {
 	case wire.WhyDone:
 		if p.Started != 0 && p.Since > l.since && !j.Service() {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -205,6 +205,9 @@
 	Since   clock.Micros // when it was decided or adopted
 	Started clock.Micros // when it was first seen running
 
+	// Saved: it was stopped, and its progress is safe.
+	Saved bool
+
 	// Stray: not the task's place by the ledger's will; it is to be stopped.
 	Stray bool
 	id    string
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -130,6 +130,7 @@
 	}
 	if t.State == wire.TaskExited {
 		if p != nil {
+			p.Saved = t.Saved
 			l.exited(p, t.Why, now)
 		} else if t.Why == wire.WhyDone && !j.Service() {
 			l.complete(j, index)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -154,16 +154,23 @@
 }
 
 // BootTime is a learnt quantile of a type's boot time; before there are
-// samples it rests on the nominal figure.
+// samples it rests on the nominal figure. An upper quantile is never below what the
+// nominal figure gives: the first machines of a burst to come up are the fast ones,
+// and by their times alone all the others looked overdue, and were rented again.
 func (pl *Planner) BootTime(typ string, quantile float64) clock.Micros {
 	nominal := clock.FromSeconds(pl.Types[typ].BootS)
-	if h := pl.boots[typ]; h != nil && h.TotalCount() >= 8 {
-		return clock.Micros(h.ValueAtQuantile(quantile)) * clock.Millisecond
+	if quantile > 90 {
+		nominal += nominal / 2 // usually 0.6 to 1.5 times the figure
+	}
+	h := pl.boots[typ]
+	if h == nil || h.TotalCount() < 8 {
+		return nominal
 	}
+	learnt := clock.Micros(h.ValueAtQuantile(quantile)) * clock.Millisecond
 	if quantile > 90 {
-		return nominal + nominal/2 // usually 0.6 to 1.5 times the figure
+		return max(learnt, nominal)
 	}
-	return nominal
+	return learnt
 }
 
 // StuckAfter is how long a machine may boot before it is given up.
