A new leader relearns arrivals and gives nothing back while tasks are in doubt

Cause, from a replay of rough: all controllers crash at 142 s in an outage, all leases run out; the new leader knew no class whose starts press, gave back 78 machines at 154 s as idle, and got 470 GPUs of lost tasks to place at 157 s.

--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -1,6 +1,9 @@
 package core
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -173,6 +176,7 @@
 			l.jobs[id].over = true
 		}
 	}
+	l.relearn(now, wall)
 	l.heed(now)
 	l.bounds(now)
 	l.lg.Settle()
@@ -180,6 +184,19 @@
 	return l
 }
 
+// relearn takes the arrivals that the records still tell of. A leader that knew of
+// none held that no start was pressing, and gave back, within seconds of its
+// take-over, every machine that the jobs of the one before were about to need again.
+func (l *lead) relearn(now, wall clock.Micros) {
+	jobs := slices.Collect(maps.Values(l.lg.Jobs))
+	slices.SortFunc(jobs, func(a, b *ledger.Job) int {
+		return cmp.Or(cmp.Compare(a.Submitted, b.Submitted), cmp.Compare(a.Spec.ID, b.Spec.ID))
+	})
+	for _, j := range jobs {
+		l.pl.Arrived(j, now-max(wall-j.Submitted, 0))
+	}
+}
+
 func (l *lead) addJob(id string, rec *jobRecord, marked bool) *ledger.Job {
 	done := l.c.view.done[id]
 	j := l.lg.AddJob(rec.Job, clock.Micros(rec.At), clock.Now(), marked, func(i int) bool {
--- a/internal/planner/spares.go
+++ b/internal/planner/spares.go
@@ -224,9 +224,24 @@
 	return n
 }
 
+// doubted tells whether tasks that may use machines of a kind are in doubt. They are
+// either found on a machine or have to be started anew, all at once: once a fleet's
+// idle machines were given back while two in three of its tasks were in doubt.
+func (r *round) doubted(spot bool) bool {
+	for _, j := range r.l.Jobs {
+		if j.Doubts() > 0 && !j.Withdrawn && (j.Spec.Spot || !spot) {
+			return true
+		}
+	}
+	return false
+}
+
 // giveBack returns machines that have been idle for the wait, but for those
 // that the spare target keeps.
 func (r *round) giveBack(spot bool, keep int, d *Decision) {
+	if r.doubted(spot) {
+		return
+	}
 	dm := &r.pl.ordinary
 	if spot {
 		dm = &r.pl.spot
