--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -101,6 +101,9 @@
 	Place   *Placement
 	// NotBefore holds a failed task back.
 	NotBefore clock.Micros
+	// Progress is how many seconds of its run are safe in a checkpoint, as far as
+	// this leader has seen. Predictions use it; nothing else rests on it.
+	Progress float64
 }
 
 // Job is an accepted job that is not over, or whose tasks are not all gone.
@@ -133,6 +136,11 @@
 	Errors     int
 	Restarts   int
 	FirstStart clock.Micros // steady clock
+	// Ran tasks were seen to run to their end, for RanS seconds in all.
+	Ran  int
+	RanS float64
+	// Progress is the most that is safe of any task; a gang's tasks share it.
+	Progress float64
 }
 
 // Gang tells whether the job's tasks run together.
@@ -203,7 +211,9 @@
 	Phase   Phase
 	State   string       // as last reported
 	Since   clock.Micros // when it was decided or adopted
-	Started clock.Micros // when it was first seen running
+	Started clock.Micros // when it was first seen with its image
+	// RunAt is when it was first seen running: a gang's task waits for the others.
+	RunAt clock.Micros
 
 	// Saved: it was stopped, and its progress is safe.
 	Saved bool
@@ -666,6 +676,13 @@
 		m.lateIDs[attemptKey{p.id, p.Attempt}] = true
 	}
 	t := &j.Tasks[p.Index]
+	if why != wire.WhyDone && p.RunAt != 0 && j.Spec.CheckpointS > 0 {
+		t.Progress += (now - p.RunAt).Seconds()
+		if !p.Saved {
+			t.Progress = math.Floor(t.Progress/j.Spec.CheckpointS) * j.Spec.CheckpointS
+		}
+		j.Progress = max(j.Progress, t.Progress)
+	}
 	if t.Place == p {
 		t.Place = nil
 		if t.State == Placed {
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -149,6 +149,9 @@
 	}
 	p.Phase = Present
 	p.State = t.State
+	if p.RunAt == 0 && t.State == wire.TaskRunning {
+		p.RunAt = now
+	}
 	if p.Started == 0 && (t.State == wire.TaskRunning || t.State == wire.TaskWaiting) {
 		p.Started = now
 		j.Running++
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -40,7 +40,7 @@
 	if !j.Service() {
 		// A machine is paid for until its last task ends: a task goes where it
 		// prolongs that least.
-		run := r.pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)
+		run := r.pl.expect(j)
 		longer := max(run-r.busyFor(m), 0)
 		s -= 8 * longer / (longer + 30)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -226,15 +226,39 @@
 const forecastFor = 1 * clock.Second
 
 func (pl *Planner) forecast(p *ledger.Placement, now clock.Micros) float64 {
-	r := pl.Class(p.Job.Spec.Class)
+	j := p.Job
+	safe := j.Tasks[p.Index].Progress
+	if j.Gang() {
+		safe = j.Progress
+	}
 	if p.Started == 0 {
-		fetch := 0.0
-		if t, ok := pl.Types[p.Machine.Type]; ok && t.FetchGBPerS > 0 {
-			fetch = p.Job.Spec.ImageGB / t.FetchGBPerS
-		}
-		return fetch + r.Predict(p.Job.Spec.EstimateS)
+		return pl.fetch(j, p.Machine.Type) + max(pl.expect(j)-safe, 0)
+	}
+	age := safe
+	if p.RunAt != 0 {
+		age += (now - p.RunAt).Seconds()
+	}
+	if j.Ran > 0 {
+		return remaining(pl.expect(j), ownSigma, age)
+	}
+	return pl.Class(j.Spec.Class).Remaining(j.Spec.EstimateS, age)
+}
+
+// expect predicts how long a task of a job runs: as long as those that have ended,
+// or as its class makes of its estimate (46).
+func (pl *Planner) expect(j *ledger.Job) float64 {
+	if j.Ran > 0 {
+		return j.RanS / float64(j.Ran)
+	}
+	return pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)
+}
+
+// fetch is how long, in seconds, a machine of a type takes to fetch a job's image.
+func (pl *Planner) fetch(j *ledger.Job, typ string) float64 {
+	if t, ok := pl.Types[typ]; ok && t.FetchGBPerS > 0 {
+		return j.Spec.ImageGB / t.FetchGBPerS
 	}
-	return r.Remaining(p.Job.Spec.EstimateS, (now - p.Started).Seconds())
+	return 0
 }
 
 // hears tells whether a machine has reported lately, as far as this leader could
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -80,7 +80,10 @@
 		if j.Withdrawn || j.WaitingCount() == 0 || j.WaitingCount() == j.Doubts() {
 			continue
 		}
-		e := &entry{job: j, owed: owed[j], need: 1, run: pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)}
+		e := &entry{job: j, owed: owed[j], need: 1, run: pl.expect(j)}
+		if j.Gang() {
+			e.run = max(e.run-j.Progress, 0)
+		}
 		atBest := pl.atBest(j, e.run)
 		e.tight = pl.tight(j, atBest, wall)
 		e.late = pl.lateness(j, atBest, wall)
--- a/internal/planner/rent.go
+++ b/internal/planner/rent.go
@@ -13,7 +13,7 @@
 type slot struct {
 	free    ledger.Resources
 	later   ledger.Resources // what will be free besides when the patience ends
-	machine *ledger.Machine // nil if not there yet
+	machine *ledger.Machine  // nil if not there yet
 }
 
 // future holds the slots, pool by pool. Slots with no room left for anything
