--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/ledger"
 )
@@ -46,6 +48,7 @@
 	pools    []*poolView
 	least    ledger.Resources   // the least of what waits, in each dimension
 	held     []ledger.Resources // promised to jobs not yet marked, by rank
+	claims   []bool             // kept for a gang until more of it is free, by rank
 	busy     []float64          // seconds until the last task ends, by rank; -1: not worked out
 	freeing  []ledger.Resources // taken by tasks that are stopping, by rank; nil: not worked out
 	zones    map[string]*zoneView
@@ -99,7 +102,8 @@
 	r := &round{pl: pl, l: l, now: now, machines: l.ByName(), zones: map[string]*zoneView{}}
 	pl.held = sized(pl.held, len(r.machines))
 	pl.busy = sized(pl.busy, len(r.machines))
-	r.held, r.busy = pl.held, pl.busy
+	pl.claims = sized(pl.claims, len(r.machines))
+	r.held, r.busy, r.claims = pl.held, pl.busy, pl.claims
 	for i := range r.busy {
 		r.busy[i] = -1
 	}
@@ -168,6 +172,7 @@
 		}
 		e.left = min(e.left, e.limit) - placed
 	}
+	q = slices.DeleteFunc(q, func(e *entry) bool { return e.claims })
 	r.preempt(q, owed)
 	r.rent(q, hires, &d)
 	r.spares(q, hires, &d)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -50,8 +50,9 @@
 	pools    map[Pool]*poolState
 
 	// Memory that plans use again.
-	held []ledger.Resources
-	busy []float64
+	held   []ledger.Resources
+	busy   []float64
+	claims []bool
 }
 
 // New makes a planner that has learnt nothing.
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -23,10 +23,12 @@
 	pressed bool
 	// short: more than what will be free one boot time on is wanted for it.
 	short bool
-	late  int   // by how much its time is over, see lateness
-	tasks []int // waiting tasks that may be placed now
-	left  int   // of those, not placed by this plan
-	limit int   // of those, allowed by the team's limit
+	// claims: room is kept for it, and nothing else is done for it.
+	claims bool
+	late   int   // by how much its time is over, see lateness
+	tasks  []int // waiting tasks that may be placed now
+	left   int   // of those, not placed by this plan
+	limit  int   // of those, allowed by the team's limit
 }
 
 // covers tells whether a guarantee speaks of a need at all, and whether the need
