Gangs weigh the wait for room and image against the work stopped to have it sooner

Cause: gangs waited 8 to 40 s for images that busy machines had at hand. A gang may have lesser work stopped now, by what that loses against what it waits, a second of wait weighing three of work (gang_weight).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -138,6 +138,9 @@
 	// After how long a job of which nothing has started goes first within its
 	// rank, in seconds.
 	AgeAfterS float64 `yaml:"age_after_s"`
+	// What a second of a gang's wait weighs, in seconds of lesser work on as many
+	// machines: by it gangs wait for room, or have work stopped.
+	GangWeight float64 `yaml:"gang_weight"`
 }
 
 // DefaultTuning holds the named defaults.
@@ -148,7 +151,7 @@
 		ScreenMinSamples: 3, ScreenMaxSamples: 1000,
 		ScreenCV: 0.45, ScreenLag: 0.65, ScreenKS: 3.75,
 		SmoothArrival: 0.2, SmoothService: 0.1, SmoothNeed: 0.1, HorizonS: 600,
-		SpotPatienceS: 40, AgeAfterS: 150,
+		SpotPatienceS: 40, AgeAfterS: 150, GangWeight: 3,
 	}
 }
 
@@ -296,6 +299,7 @@
 		{positive(t.HorizonS), "horizon_s", "is not above 0"},
 		{notNegative(t.SpotPatienceS), "spot_patience_s", "is below 0"},
 		{positive(t.AgeAfterS), "age_after_s", "is not above 0"},
+		{notNegative(t.GangWeight), "gang_weight", "is below 0"},
 	} {
 		if !c.ok {
 			return t, fmt.Errorf("%s: %s", c.field, c.want)
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -122,6 +122,7 @@
 		MinSamples: t.ScreenMinSamples, MaxCount: t.ScreenMaxSamples, CV: t.ScreenCV, Lag: t.ScreenLag, KS: t.ScreenKS,
 		SmoothArrival: t.SmoothArrival, SmoothService: t.SmoothService, SmoothNeed: t.SmoothNeed,
 		Horizon: clock.FromSeconds(t.HorizonS), SpotPatience: clock.FromSeconds(t.SpotPatienceS), AgeAfter: clock.FromSeconds(t.AgeAfterS),
+		GangWeight: t.GangWeight,
 	}, c.types, c.teams, d.Zones)
 	l.pl.Fresh, l.pl.Since = l.freshFor(), now
 	if c.times.For > 0 {
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -11,65 +11,123 @@
 // A gang starts with its last task, whole machines are rare where most tasks take a
 // part of one, and room that falls free goes to the next small task before enough of
 // it is free together. So a gang looks at when each place will be ready, its image
-// fetched, and claims the soonest: nothing behind it in the queue is placed there. A
-// claim lasts one plan; the next one makes it anew or drops it.
+// fetched, and at what work would have to be stopped for that, and claims what costs
+// least: nothing behind it in the queue is placed there. A claim lasts one plan; the
+// next one makes it anew or drops it.
 
-// seat is a place for one task of a gang.
+// seat is a place for one task of a gang. Times are seconds from now.
 type seat struct {
 	m     *ledger.Machine
-	wait  float64 // seconds until there is room; 0: now
-	ready float64 // seconds until the image is there too
+	free  bool    // there is room now
+	ends  float64 // ready, image and all, if what is there ends by itself
+	stops float64 // ready if work is stopped for it
+	loss  float64 // seconds of a machine's work that are lost by that
 	score float64
 }
 
+// costs is what it costs to have a seat by some time.
+func (s *seat) costs(by float64) float64 {
+	switch {
+	case s.ends <= by:
+		return 0
+	case s.stops <= by:
+		return s.loss
+	}
+	return math.Inf(1)
+}
+
 const (
-	// claimMargin is by how many seconds a claim has to beat what is free now.
-	claimMargin = 3
 	// drainDoubt is what forecasts of room are stretched by: they are means.
 	drainDoubt = 1.25
+	// stopTakes is how long, in seconds, a task takes to be gone that saves nothing.
+	stopTakes = 0.5
+	// stopLoss is what a stopped task loses beside its progress: it has to be placed
+	// anew, mostly with a fetch.
+	stopLoss = 15
 )
 
-// seats lists where tasks of a gang could go in a zone, or anywhere, the soonest
-// ready first.
-func (r *round) seats(j *ledger.Job, zone string) []seat {
+// seats lists where tasks of a gang could go in a zone, or anywhere.
+func (r *round) seats(e *entry, zone string) []seat {
+	j := e.job
 	var out []seat
 	for _, m := range r.machines {
-		if zone != "" && m.Zone != zone || !r.usable(m) || r.claimed(m) || !ledger.Allowed(j, m) {
+		if zone != "" && m.Zone != zone || !r.usable(m) || r.claims[m.Rank] || !ledger.Allowed(j, m) {
 			continue
 		}
-		room := r.free(m)
-		fetch := r.fetchTime(j, m)
-		score := r.score(j, m)
-		var ends []*ledger.Placement
-		next, wait := 0, 0.0
+		fetch, score := r.fetchTime(j, m), r.score(j, m)
+		room := r.free(m) // if nothing is stopped
+		var ends, vs []*ledger.Placement
+		listed := false
+		wait, loss, stopped := 0.0, 0.0, r.free(m)
 		for range r.pl.perMachine(j.Need, m.Type) {
-			for !j.Need.Fits(room) {
-				if next == 0 {
-					m.Places(func(p *ledger.Placement) { ends = append(ends, p) })
-					slices.SortFunc(ends, func(a, b *ledger.Placement) int {
-						return cmp.Or(cmp.Compare(r.pl.remaining(a, r.now), r.pl.remaining(b, r.now)), cmp.Compare(a.Index, b.Index))
-					})
-				}
-				if next >= len(ends) {
-					break
-				}
-				wait = drainDoubt * r.pl.remaining(ends[next], r.now)
-				room = room.Add(ends[next].Job.Need)
-				next++
+			s := seat{m: m, free: j.Need.Fits(room), ends: fetch, stops: math.Inf(1), score: score}
+			if !s.free && !listed {
+				listed = true
+				ends, vs = r.endings(m), stoppable(m, func(p *ledger.Placement) bool { return !p.Stopping() && r.below(e, p.Job) })
+				stopped = r.room(m)
+			}
+			for len(ends) > 0 && !j.Need.Fits(room) {
+				wait = drainDoubt * r.pl.remaining(ends[0], r.now)
+				room = room.Add(ends[0].Job.Need)
+				ends = ends[1:]
+			}
+			s.ends = wait + fetch
+			if !j.Need.Fits(room) {
+				s.ends = math.Inf(1)
+			}
+			for len(vs) > 0 && !j.Need.Fits(stopped) {
+				loss += r.lost(vs[0])
+				stopped = stopped.Add(vs[0].Job.Need)
+				vs = vs[1:]
 			}
-			if !j.Need.Fits(room) || math.IsInf(wait, 1) {
+			if j.Need.Fits(stopped) {
+				s.stops, s.loss = stopTakes+fetch, loss
+			}
+			if math.IsInf(min(s.ends, s.stops), 1) {
 				break
 			}
-			room = room.Sub(j.Need)
-			out = append(out, seat{m, wait, wait + fetch, score})
+			room, stopped = room.Sub(j.Need), stopped.Sub(j.Need)
+			out = append(out, s)
 		}
 	}
-	slices.SortFunc(out, func(a, b seat) int {
-		return cmp.Or(cmp.Compare(a.ready, b.ready), -cmp.Compare(a.score, b.score), cmp.Compare(a.m.Rank, b.m.Rank))
+	return out
+}
+
+// endings lists what is on a machine, what ends first first.
+func (r *round) endings(m *ledger.Machine) []*ledger.Placement {
+	var out []*ledger.Placement
+	m.Places(func(p *ledger.Placement) {
+		if !p.Job.Service() || p.Stopping() {
+			out = append(out, p)
+		}
+	})
+	slices.SortFunc(out, func(a, b *ledger.Placement) int {
+		return cmp.Or(cmp.Compare(r.pl.remaining(a, r.now), r.pl.remaining(b, r.now)), cmp.Compare(a.Index, b.Index))
 	})
 	return out
 }
 
+// lost is what stopping a task loses, in seconds of its machine: its run since the
+// last checkpoint, and a new start.
+func (r *round) lost(p *ledger.Placement) float64 {
+	run := (r.now - p.Since).Seconds()
+	if ck := p.Job.Spec.CheckpointS; ck > 0 {
+		run = min(run, ck)
+	}
+	return (run + stopLoss) * r.part(p.Job.Need, p.Machine.Cap)
+}
+
+// part is how much of a machine a need takes, of what it takes most of.
+func (r *round) part(need, size ledger.Resources) float64 {
+	part := 0.0
+	for _, d := range [][2]int64{{need.CPU, size.CPU}, {need.GPU, size.GPU}, {need.Mem, size.Mem}} {
+		if d[1] > 0 {
+			part = max(part, float64(d[0])/float64(d[1]))
+		}
+	}
+	return part
+}
+
 // fetchTime is how long, in seconds, a machine takes until it has a job's image:
 // fetches share its rate.
 func (r *round) fetchTime(j *ledger.Job, m *ledger.Machine) float64 {
@@ -83,54 +141,72 @@
 	return fetch * float64(1+m.Fetches())
 }
 
-// seated picks seats for all tasks of a gang, nil if there are not enough: as soon
-// as they can all be ready, and of those that are ready by then the best.
-func seated(j *ledger.Job, seats []seat) []seat {
-	n := len(j.Tasks)
-	if len(seats) < n {
-		return nil
-	}
-	by := seats[n-1].ready
-	for zones := map[string]int{}; j.Spec.Spread; {
-		// The n soonest may be too many in one zone.
-		clear(zones)
-		got := 0
-		for _, s := range seats {
-			if zones[s.m.Zone] < j.SpreadLimit() && got < n {
-				zones[s.m.Zone]++
-				got++
-				by = s.ready
-			}
-		}
-		if got < n {
-			return nil
+// seated picks the cheapest seats that are ready by some time for all tasks of a
+// gang, and of equal ones the best; nil if there are not enough.
+func seated(j *ledger.Job, seats []seat, by float64) (pick []seat, loss float64) {
+	for _, s := range seats {
+		if !math.IsInf(s.costs(by), 1) {
+			pick = append(pick, s)
 		}
-		break
 	}
-	k := len(seats)
-	for k > 0 && seats[k-1].ready > by {
-		k--
+	if len(pick) < len(j.Tasks) {
+		return nil, 0
 	}
-	pick := slices.Clone(seats[:k])
-	slices.SortStableFunc(pick, func(a, b seat) int { return -cmp.Compare(a.score, b.score) })
-	out := pick[:0]
+	slices.SortFunc(pick, func(a, b seat) int {
+		return cmp.Or(cmp.Compare(a.costs(by), b.costs(by)), -cmp.Compare(a.score, b.score), cmp.Compare(a.m.Rank, b.m.Rank))
+	})
 	zones := map[string]int{}
+	out := pick[:0]
 	for _, s := range pick {
-		if len(out) < n && (!j.Spec.Spread || zones[s.m.Zone] < j.SpreadLimit()) {
-			zones[s.m.Zone]++
-			out = append(out, s)
+		if len(out) == len(j.Tasks) {
+			break
+		}
+		if j.Spec.Spread && zones[s.m.Zone] >= j.SpreadLimit() {
+			continue
 		}
+		zones[s.m.Zone]++
+		loss += s.costs(by)
+		out = append(out, s)
 	}
-	return out
+	if len(out) < len(j.Tasks) {
+		return nil, 0
+	}
+	return out, loss
 }
 
-// last is when the last of the seats is ready.
-func last(seats []seat) float64 {
-	by := 0.0
-	for _, s := range seats {
-		by = max(by, s.ready)
+// cheapest weighs, for a gang, every second that it waits against the work that is
+// stopped to have it wait less.
+func (r *round) cheapest(e *entry, seats []seat) (best []seat, by, cost float64) {
+	j := e.job
+	n := float64(len(j.Tasks))
+	bound := r.claimFor(j, seats)
+	var times []float64
+	for i := range seats {
+		for _, t := range []float64{seats[i].ends, seats[i].stops} {
+			if t <= bound || e.aged && !math.IsInf(t, 1) {
+				times = append(times, math.Ceil(t))
+			}
+		}
 	}
-	return by
+	slices.Sort(times)
+	cost = math.Inf(1)
+	for _, t := range slices.Compact(times) {
+		wait := r.pl.P.GangWeight * n * t
+		if wait >= cost {
+			break // later is dearer, whatever is stopped
+		}
+		if pick, loss := seated(j, seats, t); pick != nil && wait+loss < cost {
+			best, by, cost = pick, t, wait+loss
+		}
+	}
+	return best, by, cost
+}
+
+// claimFor bounds, in seconds, how long a gang may keep room from others: as long as
+// a machine rented now would take to be ready.
+func (r *round) claimFor(j *ledger.Job, seats []seat) float64 {
+	typ := seats[0].m.Type
+	return r.pl.BootTime(typ, 50).Seconds() + r.pl.fetch(j, typ)
 }
 
 // placeGang places all tasks of a gang, or none. It may claim room instead.
@@ -143,45 +219,64 @@
 	if j.Spec.OneZone {
 		zones = r.pl.Zones
 	}
-	var now, later []seat // the soonest of what is free, and of all
+	var best []seat
+	by, cost := 0.0, math.Inf(1)
 	for _, z := range zones {
-		all := r.seats(j, z)
-		free := slices.DeleteFunc(slices.Clone(all), func(s seat) bool { return s.wait > 0 })
-		if s := seated(j, free); s != nil && (now == nil || last(s) < last(now)) {
-			now = s
+		seats := r.seats(e, z)
+		if len(seats) < len(j.Tasks) {
+			continue
 		}
-		if s := seated(j, all); s != nil && (later == nil || last(s) < last(later)) {
-			later = s
+		if pick, t, c := r.cheapest(e, seats); c < cost {
+			best, by, cost = pick, t, c
 		}
 	}
 	switch {
-	case now != nil && last(now) <= last(later)+claimMargin:
-		return r.seat(e, now)
-	case later != nil && (e.aged || last(later) <= r.claimFor(j, later)):
-		r.claimSeats(e, later)
+	case best == nil:
+		return 0
+	case !slices.ContainsFunc(best, func(s seat) bool { return !s.free }):
+		return r.seat(e, best)
 	}
+	r.claimSeats(e, best, by)
 	return 0
 }
 
-// claimFor bounds, in seconds, how long a gang may keep room from others: as long as
-// a machine rented now would take to be ready.
-func (r *round) claimFor(j *ledger.Job, seats []seat) float64 {
-	typ := seats[0].m.Type
-	return r.pl.BootTime(typ, 50).Seconds() + r.pl.fetch(j, typ)
-}
-
-// claimSeats keeps room for a gang: nothing else is placed there by this plan, and
-// nothing is rented or stopped for the gang.
-func (r *round) claimSeats(e *entry, seats []seat) {
+// claimSeats keeps room for a gang, and stops what has to be stopped to have it by
+// then. Nothing is rented for the gang as long as it has a claim.
+func (r *round) claimSeats(e *entry, seats []seat, by float64) {
 	e.claims = true
+	need := e.job.Need
+	taken := map[*ledger.Machine]int{}
 	for _, s := range seats {
-		r.held[s.m.Rank] = s.m.Free()
-		r.claims[s.m.Rank] = true
+		taken[s.m]++
+	}
+	for _, s := range seats {
+		m := s.m
+		if r.claims[m.Rank] {
+			continue
+		}
+		r.claims[m.Rank] = true
+		want := need.Times(taken[m])
+		fetch := r.fetchTime(e.job, m)
+		have := r.room(m)
+		for _, p := range r.endings(m) {
+			if !p.Stopping() && drainDoubt*r.pl.remaining(p, r.now)+fetch <= by {
+				have = have.Add(p.Job.Need)
+			}
+		}
+		for _, p := range stoppable(m, func(p *ledger.Placement) bool {
+			return !p.Stopping() && r.below(e, p.Job) && drainDoubt*r.pl.remaining(p, r.now)+fetch > by
+		}) {
+			if want.Fits(have) {
+				break
+			}
+			r.stop(p)
+			have = have.Add(p.Job.Need)
+		}
+		free := m.Free()
+		r.held[m.Rank] = ledger.Resources{CPU: min(want.CPU, free.CPU), GPU: min(want.GPU, free.GPU), Mem: min(want.Mem, free.Mem)}
 	}
 }
 
-func (r *round) claimed(m *ledger.Machine) bool { return r.claims[m.Rank] }
-
 // seat places a gang on seats that are free.
 func (r *round) seat(e *entry, seats []seat) int {
 	j := e.job
--- a/internal/planner/model.go
+++ b/internal/planner/model.go
@@ -36,6 +36,9 @@
 	// AgeAfter is how long a job waits for its first start before it goes first
 	// within its rank; 0: never.
 	AgeAfter clock.Micros
+	// GangWeight is what a second of a gang's wait weighs, in seconds of other work
+	// on as many machines.
+	GangWeight float64
 }
 
 // sample is an observation with its time.
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -52,6 +52,7 @@
 	busy     []float64          // seconds until the last task ends, by rank; -1: not worked out
 	freeing  []ledger.Resources // taken by tasks that are stopping, by rank; nil: not worked out
 	zones    map[string]*zoneView
+	owed     map[*ledger.Job]bool // what guarantees cover
 }
 
 // zoneView counts a zone's machines that were up, and those of them heard.
@@ -159,6 +160,7 @@
 	owed := pl.owed(l)
 	q := pl.queue(l, owed, now, wall)
 	r := pl.round(l, q, now)
+	r.owed = owed
 	for _, e := range q {
 		e.limit = r.allowance(e.job)
 		var placed int
@@ -173,7 +175,7 @@
 		e.left = min(e.left, e.limit) - placed
 	}
 	q = slices.DeleteFunc(q, func(e *entry) bool { return e.claims })
-	r.preempt(q, owed)
+	r.preempt(q)
 	r.rent(q, hires, &d)
 	r.spares(q, hires, &d)
 	return d
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -16,7 +16,7 @@
 		Alpha: 50, Beta: 1, IdleWait: 60 * clock.Second, Window: 120 * clock.Second, Recency: 60 * clock.Second,
 		SpareMin: 1, SpareMax: 4, MinSamples: 3, MaxCount: 1000, CV: 0.45, Lag: 0.65, KS: 3.75,
 		SmoothArrival: 0.2, SmoothService: 0.1, SmoothNeed: 0.1, Horizon: 600 * clock.Second,
-		AgeAfter: 150 * clock.Second,
+		AgeAfter: 150 * clock.Second, GangWeight: 3,
 	}
 }
 
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -23,13 +23,14 @@
 	return r.free(m).Add(r.freeing[m.Rank])
 }
 
-// preempt stops work to make room for jobs of higher rank, and for jobs that
-// their team's guarantee covers. What loses least goes first.
-func (r *round) preempt(q []*entry, owed map[*ledger.Job]bool) {
+// preempt stops work to make room for tasks of higher rank, and for those that
+// their team's guarantee covers. What loses least goes first. Gangs weigh that
+// themselves, see placeGang.
+func (r *round) preempt(q []*entry) {
 	var active []*ledger.Job // what may be stopped at all, for somebody
 	for _, e := range q {
 		j := e.job
-		if e.left <= 0 || j.Priority != 0 && !e.owed {
+		if e.left <= 0 || j.Gang() || j.Priority != 0 && !e.owed {
 			continue
 		}
 		if active == nil {
@@ -40,24 +41,27 @@
 				}
 			}
 		}
-		below := func(v *ledger.Job) bool {
-			if v.Gang() || v == j {
-				return false
-			}
-			return v.Priority > j.Priority || e.owed && !owed[v] && v.Spec.Team != j.Spec.Team && v.Priority >= j.Priority && !v.Service()
-		}
-		if !slices.ContainsFunc(active, below) {
+		if !slices.ContainsFunc(active, func(v *ledger.Job) bool { return r.below(e, v) }) {
 			continue // nobody's work is below this job's
 		}
-		mayStop := func(p *ledger.Placement) bool { return !p.Stopping() && below(p.Job) }
-		if j.Gang() {
-			r.preemptForGang(j, mayStop)
-		} else {
-			r.preemptForTasks(e, mayStop)
-		}
+		r.preemptForTasks(e, func(p *ledger.Placement) bool { return !p.Stopping() && r.below(e, p.Job) })
 	}
 }
 
+// below tells whether work of a job may be stopped for another: it is of lower rank,
+// or the other is owed the room and it is not. What a guarantee covers gives way to
+// the same team's, to what is owed too, and to the first rank.
+func (r *round) below(e *entry, v *ledger.Job) bool {
+	j := e.job
+	if v.Gang() || v == j {
+		return false
+	}
+	if v.Priority > j.Priority {
+		return j.Priority == 0 || e.owed || !r.owed[v] || v.Spec.Team == j.Spec.Team
+	}
+	return e.owed && !r.owed[v] && v.Spec.Team != j.Spec.Team && v.Priority == j.Priority && !v.Service()
+}
+
 // claim books room that is being freed for a job; its tasks are placed there
 // when it is.
 func (r *round) claim(m *ledger.Machine, need ledger.Resources) {
@@ -168,64 +172,6 @@
 	}
 }
 
-// preemptForGang stops work so that a whole gang finds room, or stops nothing.
-func (r *round) preemptForGang(j *ledger.Job, mayStop func(*ledger.Placement) bool) {
-	var machines []*ledger.Machine
-	for _, m := range r.machines {
-		if r.usable(m) && ledger.Allowed(j, m) {
-			machines = append(machines, m)
-		}
-	}
-	slices.SortStableFunc(machines, func(a, b *ledger.Machine) int { return -cmp.Compare(r.score(j, a), r.score(j, b)) })
-	zones := []string{""}
-	if j.Spec.OneZone {
-		zones = r.pl.Zones
-	}
-	for _, zone := range zones {
-		var victims []*ledger.Placement
-		taken := map[*ledger.Machine]int{}
-		byZone := map[string]int{}
-		left := len(j.Tasks)
-		// First what is free, or is being freed, then what has to be stopped.
-		for i, m := range append(slices.Clone(machines), machines...) {
-			if left == 0 || zone != "" && m.Zone != zone {
-				continue
-			}
-			var vs []*ledger.Placement
-			if i >= len(machines) {
-				vs = stoppable(m, mayStop)
-			}
-			have := r.room(m).Sub(j.Need.Times(taken[m]))
-			for left > 0 && !(j.Spec.Spread && byZone[m.Zone] >= j.SpreadLimit()) {
-				k := 0
-				with := have
-				for ; k < len(vs) && !j.Need.Fits(with); k++ {
-					with = with.Add(vs[k].Job.Need)
-				}
-				if !j.Need.Fits(with) {
-					break
-				}
-				victims = append(victims, vs[:k]...)
-				vs = vs[k:]
-				have = with.Sub(j.Need)
-				taken[m]++
-				byZone[m.Zone]++
-				left--
-			}
-		}
-		if left > 0 {
-			continue
-		}
-		for _, p := range victims {
-			r.stop(p)
-		}
-		for m, n := range taken {
-			r.claim(m, j.Need.Times(n))
-		}
-		return
-	}
-}
-
 // stoppable lists what may be stopped on a machine, what started last first.
 func stoppable(m *ledger.Machine, mayStop func(*ledger.Placement) bool) []*ledger.Placement {
 	var vs []*ledger.Placement
--- a/internal/planner/rent.go
+++ b/internal/planner/rent.go
@@ -85,7 +85,7 @@
 	}
 	boots := map[string][2]clock.Micros{}
 	for _, m := range r.machines {
-		if m.Draining || m.TakenAt != 0 || r.claimed(m) || m.UpAt != 0 && !r.pl.hears(m, r.now) {
+		if m.Draining || m.TakenAt != 0 || r.claims[m.Rank] || m.UpAt != 0 && !r.pl.hears(m, r.now) {
 			continue
 		}
 		boot, ok := boots[m.Type]
