A gang that was not complete gets what it lacks; aged jobs go oldest first; tests of gangs

Cause: any task that a gang lost before it had started stopped the others, and gave up their fetches; an incomplete after gang_wait_s could repeat for ever. By a new test, under a stream of small jobs a gang of six never began: among jobs that had all waited too long the smallest still went first.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -193,7 +193,7 @@
 		if j.Spec.CheckpointS > 0 && grace > 0 && left > 2*grace+3*clock.Second {
 			return // there is time to run on and still save
 		}
-		if j.Gang() {
+		if j.Gang() && j.UnderWay {
 			l.lg.StopJob(j, grace)
 		} else {
 			l.lg.Stop(p, grace)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -127,10 +127,12 @@
 	active  int // placements
 	waiting int
 	byZone  map[string]int
-	// Attempt of a gang in progress, 0 if none; Broken: it has to end.
-	Attempt uint64
-	Broken  bool
-	Running int
+	// Attempt of a gang in progress, 0 if none; Broken: it has to end; Under way: it
+	// has been seen running, all its tasks together.
+	Attempt  uint64
+	Broken   bool
+	UnderWay bool
+	Running  int
 	// ErrorsOn counts failures by machine.
 	ErrorsOn   map[string]int
 	Errors     int
@@ -586,13 +588,20 @@
 	return true
 }
 
+// Replaceable tells whether a gang waits for tasks that it has lost before it was
+// seen running: others with the same attempt complete it, while stopping the rest
+// would give up the images that they fetch.
+func (j *Job) Replaceable() bool {
+	return j.Gang() && j.Attempt != 0 && !j.Broken && !j.UnderWay && !j.Withdrawn && j.doubts == 0
+}
+
 // Place decides that a waiting task goes to a machine.
 func (l *Ledger) Place(j *Job, i int, m *Machine, attempt uint64, now clock.Micros) error {
 	t := &j.Tasks[i]
 	if t.State != Waiting || t.Doubt || t.Place != nil || j.Withdrawn || !j.Marked || !m.Usable() {
 		return ErrState
 	}
-	if j.Gang() && j.Attempt != 0 && j.Attempt != attempt {
+	if j.Gang() && j.Attempt != 0 && (j.Attempt != attempt || !j.Replaceable()) {
 		return ErrState
 	}
 	id := wire.TaskID(j.Spec.ID, i)
@@ -691,12 +700,12 @@
 		}
 		if why == wire.WhyDone {
 			l.complete(j, p.Index)
-		} else if j.Gang() && t.State != Done {
+		} else if j.Gang() && t.State != Done && (j.UnderWay || why == wire.WhyPeers || why == wire.WhyError) {
 			l.breakGang(j)
 		}
 	}
 	if j.Gang() && j.active == 0 {
-		j.Attempt, j.Broken = 0, false
+		j.Attempt, j.Broken, j.UnderWay = 0, false, false
 	}
 	l.Ended = append(l.Ended, Ending{p, why})
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -63,6 +63,7 @@
 	old     []heldDirect // carried out before; copies of them may come
 	limit   int64
 	starts  int
+	gangs   int // that were complete
 	copies  []*wire.Report
 	vouch   clock.Micros // others may answer workers until then
 }
@@ -84,7 +85,7 @@
 	id := fmt.Sprintf("req-%06d", i)
 	s := &wire.Job{
 		ID: id, Class: "c", Team: []string{"a", "b"}[i%2], Priority: wire.PriorityNormal, Tasks: 2 + i%2, CPUs: 1, Image: "i",
-		Kind: []string{wire.KindArray, wire.KindService, wire.KindArray}[i%3],
+		Kind: []string{wire.KindArray, wire.KindService, wire.KindGang}[i%3],
 	}
 	switch i % 4 {
 	case 0:
@@ -109,6 +110,51 @@
 	return nil
 }
 
+// gang lists the tasks of a gang that are on machines.
+func (w *world) gang(job string) (out []*fakeTask) {
+	for n := range w.specs[job].Tasks {
+		id := wire.TaskID(job, n)
+		if k := w.on(id); k != nil {
+			out = append(out, k.tasks[id])
+		}
+	}
+	return out
+}
+
+// playGang has a gang's tasks do what the workers would: start together, notice
+// that one is missing, give up waiting, or complete together.
+func (w *world) playGang(job string) {
+	spec := w.specs[job]
+	tasks := w.gang(job)
+	if spec.Kind != wire.KindGang || len(tasks) == 0 {
+		return
+	}
+	all := func(state string) bool {
+		return len(tasks) == spec.Tasks && !slices.ContainsFunc(tasks, func(t *fakeTask) bool { return t.state != state })
+	}
+	exit := func(t *fakeTask, why string) { t.state, t.why = wire.TaskExited, why }
+	switch {
+	case all(wire.TaskWaiting):
+		for _, t := range tasks {
+			t.state = wire.TaskRunning
+		}
+		w.gangs++
+	case all(wire.TaskRunning):
+		if w.rng.IntN(3) == 0 {
+			for _, t := range tasks {
+				exit(t, wire.WhyDone)
+			}
+		}
+	default:
+		t := tasks[w.rng.IntN(len(tasks))]
+		if t.state == wire.TaskRunning {
+			exit(t, wire.WhyPeers)
+		} else if w.rng.IntN(6) == 0 {
+			exit(t, wire.WhyAlone)
+		}
+	}
+}
+
 func (w *world) expire(k *fakeWorker) {
 	if !k.gone && w.now-k.leaseFrom > testLease {
 		k.session++
@@ -152,6 +198,14 @@
 					w.fatal("spread: %s", c.Task)
 				}
 				k.tasks[c.Task] = &fakeTask{attempt: c.Attempt, state: wire.TaskRunning}
+				if spec.Kind == wire.KindGang {
+					k.tasks[c.Task].state = wire.TaskWaiting
+					for _, t := range w.gang(job) {
+						if t.attempt != c.Attempt {
+							w.fatal("two attempts of a gang: %s starts as %d beside %d", c.Task, c.Attempt, t.attempt)
+						}
+					}
+				}
 				if w.done[job][i] {
 					k.tasks[c.Task].state, k.tasks[c.Task].why = wire.TaskExited, wire.WhyDone
 				}
@@ -347,7 +401,7 @@
 }
 
 func TestHistories(t *testing.T) {
-	total := 0
+	total, gangs := 0, 0
 	for seed := uint64(1); seed <= 4000; seed++ {
 		w := &world{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: clock.Second, specs: map[string]*wire.Job{}, marked: map[string]bool{},
 			done: map[string]map[int]bool{}, over: map[string]bool{}, limit: 5000}
@@ -369,8 +423,15 @@
 			}
 			w.marked[j.Spec.ID] = true
 			j.Marked = true
+			attempt := j.Attempt
 			for i := range j.Tasks {
-				_ = w.lg.Place(j, i, m, w.lg.Attempt(), w.now) // refusals are the point
+				if !j.Gang() || attempt == 0 || w.rng.IntN(20) == 0 {
+					attempt = w.lg.Attempt()
+				}
+				_ = w.lg.Place(j, i, m, attempt, w.now) // refusals are the point
+				if other := w.machine(worker()); j.Gang() && other != nil {
+					m, attempt = other, max(j.Attempt, attempt)
+				}
 			}
 		}
 		actions := map[string]func(){
@@ -520,6 +581,8 @@
 					w.lg.AddMachine(n.name, "t", n.zone, false, Resources{4000, 0, 1 << 40}, w.now).Recorded = true
 				}
 			},
+			"gang":  func() { w.playGang(job()) },
+			"gang2": func() { w.playGang(job()) },
 			"takeOver": func() {
 				if w.rng.IntN(12) == 0 {
 					w.takeOver()
@@ -555,10 +618,11 @@
 			}
 		}
 		total += w.starts
+		gangs += w.gangs
 	}
-	t.Logf("%d starts", total)
-	if total == 0 {
-		t.Fatal("no history started a task")
+	t.Logf("%d starts, %d gangs complete", total, gangs)
+	if total == 0 || gangs < 200 {
+		t.Fatalf("%d starts, %d gangs complete: the histories show too little", total, gangs)
 	}
 }
 
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -151,6 +151,7 @@
 	p.State = t.State
 	if p.RunAt == 0 && t.State == wire.TaskRunning {
 		p.RunAt = now
+		j.UnderWay = j.Gang() && !p.Stray || j.UnderWay
 	}
 	if p.Started == 0 && (t.State == wire.TaskRunning || t.State == wire.TaskWaiting) {
 		p.Started = now
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -143,13 +143,14 @@
 
 // seated picks the cheapest seats that are ready by some time for all tasks of a
 // gang, and of equal ones the best; nil if there are not enough.
-func seated(j *ledger.Job, seats []seat, by float64) (pick []seat, loss float64) {
+func seated(e *entry, seats []seat, by float64) (pick []seat, loss float64) {
+	j, n := e.job, len(e.tasks)
 	for _, s := range seats {
 		if !math.IsInf(s.costs(by), 1) {
 			pick = append(pick, s)
 		}
 	}
-	if len(pick) < len(j.Tasks) {
+	if len(pick) < n {
 		return nil, 0
 	}
 	slices.SortFunc(pick, func(a, b seat) int {
@@ -158,17 +159,17 @@
 	zones := map[string]int{}
 	out := pick[:0]
 	for _, s := range pick {
-		if len(out) == len(j.Tasks) {
+		if len(out) == n {
 			break
 		}
-		if j.Spec.Spread && zones[s.m.Zone] >= j.SpreadLimit() {
+		if j.Spec.Spread && j.InZone(s.m.Zone)+zones[s.m.Zone] >= j.SpreadLimit() {
 			continue
 		}
 		zones[s.m.Zone]++
 		loss += s.costs(by)
 		out = append(out, s)
 	}
-	if len(out) < len(j.Tasks) {
+	if len(out) < n {
 		return nil, 0
 	}
 	return out, loss
@@ -177,9 +178,8 @@
 // cheapest weighs, for a gang, every second that it waits against the work that is
 // stopped to have it wait less.
 func (r *round) cheapest(e *entry, seats []seat) (best []seat, by, cost float64) {
-	j := e.job
-	n := float64(len(j.Tasks))
-	bound := r.claimFor(j, seats)
+	n := float64(len(e.job.Tasks)) // all of them wait
+	bound := r.claimFor(e.job, seats)
 	var times []float64
 	for i := range seats {
 		for _, t := range []float64{seats[i].ends, seats[i].stops} {
@@ -195,7 +195,7 @@
 		if wait >= cost {
 			break // later is dearer, whatever is stopped
 		}
-		if pick, loss := seated(j, seats, t); pick != nil && wait+loss < cost {
+		if pick, loss := seated(e, seats, t); pick != nil && wait+loss < cost {
 			best, by, cost = pick, t, wait+loss
 		}
 	}
@@ -209,10 +209,11 @@
 	return r.pl.BootTime(typ, 50).Seconds() + r.pl.fetch(j, typ)
 }
 
-// placeGang places all tasks of a gang, or none. It may claim room instead.
+// placeGang places all tasks of a gang, or all that it has lost before it was
+// complete, or none. It may claim room instead.
 func (r *round) placeGang(e *entry) int {
 	j := e.job
-	if len(e.tasks) != len(j.Tasks) || e.limit < len(j.Tasks) {
+	if len(e.tasks) != j.WaitingCount() || e.limit < len(e.tasks) {
 		return 0
 	}
 	zones := []string{""}
@@ -223,7 +224,7 @@
 	by, cost := 0.0, math.Inf(1)
 	for _, z := range zones {
 		seats := r.seats(e, z)
-		if len(seats) < len(j.Tasks) {
+		if len(seats) < len(e.tasks) {
 			continue
 		}
 		if pick, t, c := r.cheapest(e, seats); c < cost {
@@ -286,7 +287,10 @@
 		}
 		return len(seats)
 	}
-	attempt := r.l.Attempt()
+	attempt := j.Attempt
+	if attempt == 0 {
+		attempt = r.l.Attempt()
+	}
 	for k, s := range seats {
 		if r.l.Place(j, e.tasks[k], s.m, attempt, r.now) != nil {
 			r.l.StopJob(j, 0) // cannot start whole; what was decided is undone
--- /dev/null
+++ b/internal/planner/gang_test.go
@@ -0,0 +1,232 @@
+package planner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/ledger"
+	"firwood.dev/firwood/wire"
+)
+
+// shows has a machine report all that the ledger has placed on it, in a state.
+func (s *scene) shows(m *ledger.Machine, state string) {
+	s.l.Orders(m, s.now)
+	var tasks []wire.TaskReport
+	m.Places(func(p *ledger.Placement) {
+		if !p.Stopping() {
+			tasks = append(tasks, wire.TaskReport{Task: wire.TaskID(p.Job.Spec.ID, p.Index), Attempt: p.Attempt, State: state})
+		}
+	})
+	s.seqs[m.Name] += 2
+	s.l.Report(m, &wire.Report{Machine: m.Name, Session: 1, Seq: s.seqs[m.Name], Token: 1, Tasks: tasks}, s.now)
+}
+
+func (s *scene) plan() Decision { return s.pl.Plan(s.l, s.now, s.now, nil) }
+
+// crowded has machines with two cards each, both taken by tasks of an array that end
+// at different times.
+func crowded(t *testing.T, machines int, spec wire.Job) (*scene, *ledger.Job) {
+	t.Helper()
+	s := newScene(map[string]ledger.Team{"a": {}, "b": {}})
+	spec.ID, spec.Tasks, spec.CPUs, spec.GPUs, spec.Team = "req-000001", 2*machines, 5, 1, "a"
+	batch := s.job(spec)
+	for i := range machines {
+		m := s.machine(fmt.Sprintf("i-%02d", i), "big", "x", false)
+		for k := range 2 {
+			if err := s.l.Place(batch, 2*i+k, m, s.l.Attempt(), s.now); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s.shows(m, wire.TaskRunning)
+	}
+	for _, z := range []string{"x", "y", "z"} {
+		s.pl.Refused(Pool{"big", z, false}, s.now+10*clock.Second)
+		s.pl.Refused(Pool{"big", z, true}, s.now+10*clock.Second)
+	}
+	return s, batch
+}
+
+func stopping(j *ledger.Job) (n int) {
+	j.Places(func(p *ledger.Placement) {
+		if p.Stopping() {
+			n++
+		}
+	})
+	return n
+}
+
+func (s *scene) end(j *ledger.Job, i int) {
+	m := j.Tasks[i].Place.Machine
+	var tasks []wire.TaskReport
+	m.Places(func(p *ledger.Placement) {
+		r := wire.TaskReport{Task: wire.TaskID(p.Job.Spec.ID, p.Index), Attempt: p.Attempt, State: wire.TaskRunning}
+		if p.Job == j && p.Index == i {
+			r.State, r.Why = wire.TaskExited, wire.WhyDone
+		}
+		tasks = append(tasks, r)
+	})
+	s.seqs[m.Name] += 2
+	s.l.Report(m, &wire.Report{Machine: m.Name, Session: 1, Seq: s.seqs[m.Name], Token: 1, Tasks: tasks}, s.now)
+}
+
+// A card that falls free is kept for a gang whose turn it is, until the machine's
+// other card is free too; it once went to the next array task every time, and gangs
+// waited for as long as there were any.
+func TestAGangKeepsRoomUntilItHasEnough(t *testing.T) {
+	s, batch := crowded(t, 1, wire.Job{EstimateS: 20})
+	gang := s.job(wire.Job{ID: "req-000002", Team: "b", Kind: wire.KindGang, Tasks: 1, CPUs: 10, GPUs: 2, EstimateS: 60, Priority: wire.PriorityNormal})
+	small := s.job(wire.Job{ID: "req-000003", Team: "b", Tasks: 5, CPUs: 5, GPUs: 1, EstimateS: 90})
+	s.now += 18 * clock.Second
+	s.end(batch, 0)
+	s.plan()
+	if small.Active() != 0 {
+		t.Fatal("a card that a gang waits for went to an array")
+	}
+	s.end(batch, 1)
+	s.plan()
+	if gang.Active() != 1 || small.Active() != 0 {
+		t.Fatalf("the gang has %d places, the array %d", gang.Active(), small.Active())
+	}
+}
+
+// A claim that could not be filled within what a rented machine takes is not made:
+// the room serves others meanwhile. A gang that has waited too long makes it all the
+// same, so that the largest begins too.
+func TestAClaimIsBounded(t *testing.T) {
+	for _, aged := range []bool{false, true} {
+		s, batch := crowded(t, 1, wire.Job{EstimateS: 500})
+		s.job(wire.Job{ID: "req-000002", Team: "b", Kind: wire.KindGang, Tasks: 1, CPUs: 10, GPUs: 2, EstimateS: 60})
+		if aged {
+			s.now += s.pl.P.AgeAfter
+		}
+		small := s.job(wire.Job{ID: "req-000003", Team: "b", Tasks: 5, CPUs: 5, GPUs: 1, EstimateS: 90})
+		s.end(batch, 0)
+		s.plan()
+		if (small.Active() == 0) != aged {
+			t.Errorf("aged %v: %d tasks were placed on the free card", aged, small.Active())
+		}
+	}
+}
+
+// Lesser work is stopped for a gang where that costs less than the wait for an image
+// elsewhere, and not where it costs more; never work of its own rank, nor what
+// another team's guarantee covers.
+func TestAGangStopsWhatIsWorthLessThanItsWait(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		age   clock.Micros
+		rank  string
+		team  ledger.Team
+		stops int
+	}{
+		{"young work", 3 * clock.Second, wire.PriorityHigh, ledger.Team{}, 2},
+		{"old work", 300 * clock.Second, wire.PriorityHigh, ledger.Team{}, 0},
+		{"work of its rank", 3 * clock.Second, wire.PriorityNormal, ledger.Team{}, 0},
+		{"work that is owed its room", 3 * clock.Second, wire.PriorityHigh, ledger.Team{GPU: 8000}, 0},
+	} {
+		s, batch := crowded(t, 2, wire.Job{EstimateS: 1000})
+		s.pl.Teams["a"] = c.team
+		for _, m := range s.l.Machines {
+			m.Images["water"] = s.now
+		}
+		s.machine("i-99", "big", "x", false) // free, without the image
+		gang := s.job(wire.Job{ID: "req-000002", Team: "b", Kind: wire.KindGang, Tasks: 1, CPUs: 10, GPUs: 2, EstimateS: 60,
+			Priority: c.rank, Image: "water", ImageGB: 20})
+		s.now += c.age
+		s.plan()
+		if stopping(batch) != c.stops {
+			t.Errorf("%s: %d tasks are stopped, want %d", c.name, stopping(batch), c.stops)
+		}
+		if c.stops == 0 && gang.Active() != 1 {
+			t.Errorf("%s: the gang is not placed on the free machine", c.name)
+		}
+	}
+}
+
+// Under a stream of small jobs in an overloaded fleet the largest gang begins within
+// the four minutes that the users allow, and gangs start whole.
+func TestTheLargestGangIsNotStarved(t *testing.T) {
+	rng := rand.New(rand.NewPCG(9, 9))
+	s := newScene(map[string]ledger.Team{"a": {}, "b": {}})
+	s.pl.P.GangWeight = 0 // by claims alone, with nothing stopped
+	for i := range 8 {
+		s.machine(fmt.Sprintf("i-%02d", i), "big", "x", false)
+	}
+	for _, z := range []string{"x", "y", "z"} {
+		s.pl.pool(Pool{"big", z, false}).blockedUntil = 1e15
+	}
+	ends := map[*ledger.Placement]clock.Micros{}
+	var large *ledger.Job
+	for n := 0; n < 400; n++ {
+		s.job(wire.Job{ID: fmt.Sprintf("req-%06d", n), Team: "a", Tasks: 1 + rng.IntN(2), CPUs: 5, GPUs: 1, EstimateS: 30})
+		if n%3 == 0 {
+			s.job(wire.Job{ID: fmt.Sprintf("req-1%05d", n), Team: "a", Kind: wire.KindGang, Tasks: 1, CPUs: 10, GPUs: 2, EstimateS: 30})
+		}
+		if n == 60 {
+			large = s.job(wire.Job{ID: "req-200000", Team: "b", Kind: wire.KindGang, Tasks: 6, CPUs: 10, GPUs: 2, EstimateS: 60, OneZone: true})
+		}
+		s.plan()
+		for _, m := range s.l.ByName() {
+			s.shows(m, wire.TaskRunning)
+			m.Places(func(p *ledger.Placement) {
+				if ends[p] == 0 {
+					ends[p] = s.now + clock.FromSeconds(20+20*rng.Float64())
+				}
+			})
+			var over []*ledger.Placement
+			m.Places(func(p *ledger.Placement) {
+				if s.now >= ends[p] && !p.Stopping() {
+					over = append(over, p)
+				}
+			})
+			for _, p := range over {
+				if p.Job.Tasks[p.Index].Place == p {
+					s.end(p.Job, p.Index)
+				}
+			}
+		}
+		if large != nil && large.Active() != 0 && large.Active() != 6 && large.DoneCount() == 0 {
+			t.Fatalf("%d of six tasks placed", large.Active())
+		}
+		if large != nil && large.Active() == 6 {
+			if waited := s.now - large.Submitted; waited > 240*clock.Second {
+				t.Fatalf("begun after %v s", waited.Seconds())
+			}
+			return
+		}
+		s.now += clock.Second
+	}
+	t.Fatal("the large gang never began")
+}
+
+// A gang that loses a task before it has been complete gets another with the same
+// attempt; the images that the others have fetched are not given up.
+func TestAGangThatIsNotCompleteGetsWhatItLacks(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	for i := range 3 {
+		s.machine(fmt.Sprintf("i-%d", i), "big", "x", false)
+	}
+	gang := s.job(wire.Job{ID: "req-000001", Team: "a", Kind: wire.KindGang, Tasks: 2, CPUs: 10, GPUs: 2, EstimateS: 60})
+	s.plan()
+	attempt := gang.Attempt
+	for _, m := range s.l.ByName() {
+		s.shows(m, wire.TaskWaiting)
+	}
+	lost := gang.Tasks[0].Place.Machine
+	s.l.MachineGone(lost, s.now)
+	s.plan()
+	if gang.Active() != 2 || gang.Attempt != attempt || stopping(gang) != 0 {
+		t.Fatalf("%d places, attempt %d after %d, %d are stopped", gang.Active(), gang.Attempt, attempt, stopping(gang))
+	}
+	// Once it has run, the loss of one ends the others.
+	for _, m := range s.l.ByName() {
+		s.shows(m, wire.TaskRunning)
+	}
+	s.l.MachineGone(gang.Tasks[1].Place.Machine, s.now)
+	s.plan()
+	if stopping(gang) != 1 || gang.Active() != 1 {
+		t.Fatalf("%d places, %d are stopped", gang.Active(), stopping(gang))
+	}
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -193,7 +193,7 @@
 		n = min(n, int((g.GPUMax-u.GPU)/j.Need.GPU))
 	}
 	n = max(n, 0)
-	if j.Gang() && n < len(j.Tasks) {
+	if j.Gang() && n < j.WaitingCount() {
 		return 0
 	}
 	return n
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -94,8 +94,9 @@
 		e.aged = pl.P.AgeAfter > 0 && wall-j.Submitted >= pl.P.AgeAfter && j.Active() == 0 && j.DoneCount() == 0
 		if j.Gang() {
 			e.need = pl.Machines(j)
-			// A gang starts whole, or waits.
-			if j.Doubts() > 0 || j.Active() > 0 {
+			// A gang starts whole, or waits; one that has not been complete yet gets
+			// the tasks that it lacks.
+			if j.Doubts() > 0 || j.Active() > 0 && !j.Replaceable() {
 				continue
 			}
 		}
@@ -124,9 +125,15 @@
 		q = append(q, e)
 	}
 	slices.SortFunc(q, func(a, b *entry) int {
+		if c := cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), -cmp.Compare(btoi(a.aged), btoi(b.aged))); c != 0 {
+			return c
+		}
+		if a.aged {
+			// When many have waited too long, the smallest of them first would have
+			// the largest wait on.
+			return cmp.Or(cmp.Compare(a.job.Submitted, b.job.Submitted), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+		}
 		return cmp.Or(
-			cmp.Compare(a.job.Priority, b.job.Priority),
-			-cmp.Compare(btoi(a.aged), btoi(b.aged)),
 			-cmp.Compare(btoi(a.owed), btoi(b.owed)),
 			-cmp.Compare(btoi(a.tight), btoi(b.tight)),
 			cmp.Compare(a.late, b.late),
