--- a/internal/planner/rent.go
+++ b/internal/planner/rent.go
@@ -12,8 +12,7 @@
 // slot is a machine of the future: what will be free on it one boot time on.
 type slot struct {
 	free    ledger.Resources
-	later   ledger.Resources // what will be free besides when the patience ends
-	machine *ledger.Machine  // nil if not there yet
+	machine *ledger.Machine // nil if not there yet
 }
 
 // future holds the slots, pool by pool. Slots with no room left for anything
@@ -43,14 +42,13 @@
 
 func (f *future) put(v *futurePool, s slot) {
 	v.count++
-	if f.least.Fits(s.free.Add(s.later)) {
+	if f.least.Fits(s.free) {
 		v.slots = append(v.slots, s)
 	}
 }
 
-// take uses up to n places of a pool; it returns how many it found. With later, what
-// will be free when the patience ends counts too.
-func (f *future) take(v *futurePool, need ledger.Resources, n int, later bool) int {
+// take uses up to n places of a pool; it returns how many it found.
+func (f *future) take(v *futurePool, need ledger.Resources, n int) int {
 	got := 0
 	kept := v.slots[:0]
 	for i := range v.slots {
@@ -59,15 +57,11 @@
 			s.free = s.free.Sub(need)
 			got++
 		}
-		for later && got < n && need.Fits(s.free.Add(s.later)) {
-			s.free, s.later = ledger.Resources{}, s.free.Add(s.later).Sub(need)
-			got++
-		}
 		if got == n && len(kept) == i {
 			v.slots[i] = s // nothing was taken out before it
 			return got
 		}
-		if f.least.Fits(s.free.Add(s.later)) {
+		if f.least.Fits(s.free) {
 			kept = append(kept, s)
 		}
 	}
@@ -75,8 +69,7 @@
 	return got
 }
 
-// lookAhead works out what will be free one boot time on, and on spot machines by
-// the end of the patience.
+// lookAhead works out what will be free one boot time on.
 func (r *round) lookAhead(wanted []*entry, hires []Hire) *future {
 	f := &future{least: wanted[0].job.Need}
 	for _, e := range wanted {
@@ -98,14 +91,8 @@
 		}
 		s := slot{free: r.free(m), machine: m}
 		m.Places(func(p *ledger.Placement) {
-			if p.Job.Service() {
-				return
-			}
-			switch left := r.pl.remaining(p, r.now); {
-			case left <= boot[0].Seconds():
+			if !p.Job.Service() && r.pl.remaining(p, r.now) <= boot[0].Seconds() {
 				s.free = s.free.Add(p.Job.Need)
-			case m.Spot && left <= r.pl.P.SpotPatience.Seconds():
-				s.later = s.later.Add(p.Job.Need)
 			}
 		})
 		f.put(f.at(Pool{m.Type, m.Zone, m.Spot}), s)
@@ -149,7 +136,7 @@
 				return
 			}
 			if k := most(v.pool.Zone); k > 0 {
-				got := f.take(v, j.Need, k, false)
+				got := f.take(v, j.Need, k)
 				zones[v.pool.Zone] += got
 				n -= got
 			}
@@ -161,9 +148,7 @@
 			continue
 		}
 		e.short = true
-		// A spot machine is worth a wait only if one will be had by then.
-		patient := r.patient(e) && r.spotRoom(j, only, f, n)
-		offers := r.offers(j, !patient, only, f)
+		offers := r.offers(j, e.pressed, only, f)
 		for n > 0 {
 			v := r.best(j, offers, func(zone string) bool { return most(zone) > 0 })
 			if v == nil || v.rented >= wire.MaxHire {
@@ -188,27 +173,6 @@
 	}
 }
 
-// patient tells whether a job still waits for a spot machine, rather than have an
-// ordinary one rented.
-func (r *round) patient(e *entry) bool {
-	j := e.job
-	return j.Spec.Spot && !e.pressed && (j.Active() > 0 || r.now-j.Seen < r.pl.P.SpotPatience)
-}
-
-// spotRoom tells whether n tasks of a job will find room on spot machines, and
-// books it.
-func (r *round) spotRoom(j *ledger.Job, only string, f *future, n int) bool {
-	if j.Active() > 0 {
-		return true // it goes on as its own tasks end
-	}
-	for _, v := range f.pools {
-		if v.pool.Spot && poolAllowed(j, v.pool) && (only == "" || v.pool.Zone == only) {
-			n -= f.take(v, j.Need, n, true)
-		}
-	}
-	return n <= 0
-}
-
 // onlyZone picks the zone that a job wants all its tasks in, if it wants that:
 // where its tasks are, else where most of them will find room, or a pool that
 // has not just refused. Machines rented in several zones would never do.
@@ -235,7 +199,7 @@
 				}
 			}
 		}
-		if len(r.offers(j, true, z, f)) > 0 {
+		if len(r.offers(j, false, z, f)) > 0 {
 			n = max(n, 1)
 		} else if n < len(j.Tasks) {
 			n = 0 // it cannot grow there now
@@ -293,9 +257,8 @@
 	cost float64
 }
 
-// offers lists the pools that may be asked for a job now; ordinary ones only if
-// the job does not wait for a spot machine.
-func (r *round) offers(j *ledger.Job, ordinary bool, only string, f *future) []offer {
+// offers lists the pools that may be asked for a job now.
+func (r *round) offers(j *ledger.Job, pressed bool, only string, f *future) []offer {
 	var out []offer
 	for name, t := range r.pl.Types {
 		per := r.pl.perMachine(j.Need, name)
@@ -311,7 +274,7 @@
 				if !poolAllowed(j, p) || r.now < r.pl.pool(p).blockedUntil {
 					continue
 				}
-				if j.Spec.Spot && !spot && t.SpotPrice > 0 && !ordinary {
+				if !spot && t.SpotPrice > 0 && !pressed && r.patient(j) {
 					continue // worth the wait for a spot machine
 				}
 				price := t.Price
@@ -325,6 +288,12 @@
 	return out
 }
 
+// patient tells whether a job waits for a spot machine rather than have an ordinary
+// one rented. A gang does not: all its machines would have to come in that time.
+func (r *round) patient(j *ledger.Job) bool {
+	return j.Spec.Spot && !j.Gang() && (j.Active() > 0 || r.now-j.Seen < r.pl.P.SpotPatience)
+}
+
 // best picks where to rent one more machine for a job: the cheapest by task,
 // then where the job is better off, then the zone with the fewest machines, so
 // that a loss hits little.
