--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -96,8 +96,10 @@
 	wroteAt  clock.Micros
 	chunks   int
 	warned   bool
-	over     bool // its end is durable
-	screened bool // its tasks are in the screen as one run
+	over     bool    // its end is durable
+	ran      int     // tasks that this leader saw run to their end
+	runs     float64 // how long they ran in all, in seconds
+	screened bool    // they are in the screen as one run
 	first    int64
 }
 
@@ -327,10 +329,12 @@
 		if p.RunAt != 0 && p.Since > l.since && !j.Service() && t.Progress == 0 && !(j.Gang() && j.Progress > 0) {
 			took := (now - p.RunAt).Seconds()
 			l.pl.Finished(j, took, now)
-			j.Ran, j.RanS = j.Ran+1, j.RanS+took
-			if a := l.jobs[j.Spec.ID]; a != nil && j.Complete() && !a.screened {
-				a.screened = true
-				l.pl.Ran(j, j.RanS/float64(j.Ran), now)
+			if a := l.jobs[j.Spec.ID]; a != nil {
+				a.ran, a.runs = a.ran+1, a.runs+took
+				if j.Complete() && !a.screened {
+					a.screened = true
+					l.pl.Ran(j, a.runs/float64(a.ran), now)
+				}
 			}
 			l.c.log.Debug("task done", "job", j.Spec.ID, "task", p.Index, "machine", p.Machine.Name, "took_s", took, "estimate_s", j.Spec.EstimateS)
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -138,9 +138,6 @@
 	Errors     int
 	Restarts   int
 	FirstStart clock.Micros // steady clock
-	// Ran tasks were seen to run to their end, for RanS seconds in all.
-	Ran  int
-	RanS float64
 	// Progress is the most that is safe of any task; a gang's tasks share it.
 	Progress float64
 }
--- a/internal/planner/model.go
+++ b/internal/planner/model.go
@@ -136,11 +136,6 @@
 
 const sigmaMin = 0.25
 
-// ownSigma is the spread of the run times of one job's tasks, on machines that
-// differ by a tenth: what has ended of a job says more of the rest of it than any
-// estimate.
-const ownSigma = 0.15
-
 // Observe takes the run time of a completed task.
 func (r *RunTimes) Observe(estimate, actual, smooth float64) {
 	if estimate <= 0 || actual <= 0 {
@@ -170,15 +165,11 @@
 
 // Remaining is the expected rest of a run, given its age (50), (51).
 func (r *RunTimes) Remaining(estimate, age float64) float64 {
-	return remaining(r.Predict(estimate), r.sigma(), age)
-}
-
-// remaining is the expected rest of a run of a lognormal length, given its age.
-func remaining(median, s, age float64) float64 {
-	if median <= 0 {
+	if estimate <= 0 {
 		return math.Inf(1)
 	}
-	theta := math.Log(median)
+	s := r.sigma()
+	theta := math.Log(estimate) + r.m
 	mean := math.Exp(theta + s*s/2)
 	if age <= 0 {
 		return mean
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -239,18 +239,11 @@
 	if p.RunAt != 0 {
 		age += (now - p.RunAt).Seconds()
 	}
-	if j.Ran > 0 {
-		return remaining(pl.expect(j), ownSigma, age)
-	}
 	return pl.Class(j.Spec.Class).Remaining(j.Spec.EstimateS, age)
 }
 
-// expect predicts how long a task of a job runs: as long as those that have ended,
-// or as its class makes of its estimate (46).
+// expect predicts how long a task of a job runs (46).
 func (pl *Planner) expect(j *ledger.Job) float64 {
-	if j.Ran > 0 {
-		return j.RanS / float64(j.Ran)
-	}
 	return pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)
 }
 
