--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,6 +37,7 @@
 	sockets   *sockets.Budget
 	toWorkers *client.Pool
 	directs   int // how many may be under way at a time
+	chunk     int // tasks in one progress key
 	teams     map[string]ledger.Team
 
 	view  view
@@ -100,6 +101,7 @@
 		stamps:     map[string]vouch.Stamp{},
 	}
 	c.toWorkers = client.NewPool(c.sockets)
+	c.chunk = chunkOf(d.State.ValueKB)
 	w := &d.Workers
 	// A worker tries each other node for four seconds, and waits one before.
 	trip := clock.FromSeconds(1.25*w.ReportS) + clock.Second/2 + clock.Micros(len(cfg.Others))*5*clock.Second
--- a/internal/core/durable.go
+++ b/internal/core/durable.go
@@ -86,6 +86,7 @@
 func (l *lead) saveTypes() {
 	v, err := wire.MachineTypes{Types: l.c.types}.MarshalJSON()
 	if err != nil || len(v) > int(l.c.cfg.Deployment.State.ValueKB*1024) {
+		l.c.log.Info("machine types are too large for the state service; controllers learn them from the cloud alone", "bytes", len(v))
 		return
 	}
 	l.write(&state.Write{Rank: state.Needed, Then: []wire.Change{{Put: keyTypes, Value: v}}}, func(state.Outcome) {})
@@ -142,17 +143,23 @@
 
 func (l *lead) saveProgress(id string, j *ledger.Job, a *jobAux, todo []int, now clock.Micros) {
 	a.writing, a.wroteAt = true, now
+	size := l.c.chunk
+	// What is more than a transaction takes is for the next one.
 	chunks := map[int]bool{}
-	for _, i := range todo {
-		chunks[i/chunkTasks] = true
-	}
+	todo = slices.DeleteFunc(todo, func(i int) bool {
+		if !chunks[i/size] && len(chunks) >= l.c.cfg.Deployment.State.TxnOps {
+			return true
+		}
+		chunks[i/size] = true
+		return false
+	})
 	l.saving++
 	w := &state.Write{Rank: state.Spare}
 	for ch := range chunks {
 		var bits bitmap
-		for i := ch * chunkTasks; i < min(len(j.Tasks), (ch+1)*chunkTasks); i++ {
+		for i := ch * size; i < min(len(j.Tasks), (ch+1)*size); i++ {
 			if j.Tasks[i].State == ledger.Done {
-				bits.set(i % chunkTasks)
+				bits.set(i % size)
 			}
 		}
 		w.Then = append(w.Then, progress(id, ch, bits))
@@ -186,14 +193,13 @@
 		If:   []wire.Condition{{Key: prefixJob + id, Version: rec.version}},
 		Then: []wire.Change{{Put: prefixJob + id, Value: v}},
 	}
-	for ch := 0; ch < a.chunks; ch++ {
-		w.Then = append(w.Then, wire.Change{Delete: doneKey(id, ch)})
-	}
+	rest := l.dropProgress(w, id, a.chunks)
 	l.write(w, func(o state.Outcome) {
 		a.writing = false
 		l.dirty = true
 		switch o {
 		case state.Committed:
+			rest()
 			a.over = true
 			todo := j.NotDurable()
 			l.lg.MadeDurable(j, todo)
@@ -213,6 +219,36 @@
 	})
 }
 
+// dropProgress adds the removal of a job's progress to the write of its end, as far
+// as one transaction takes it; the rest goes by what it returns, once that is written.
+func (l *lead) dropProgress(w *state.Write, id string, chunks int) (rest func()) {
+	most := l.c.cfg.Deployment.State.TxnOps
+	ch := 0
+	for ; ch < chunks && len(w.Then) < most; ch++ {
+		w.Then = append(w.Then, wire.Change{Delete: doneKey(id, ch)})
+	}
+	var next func()
+	next = func() {
+		if ch >= chunks {
+			return
+		}
+		at := ch
+		w := &state.Write{Rank: state.Spare}
+		for ; ch < chunks && len(w.Then) < most; ch++ {
+			w.Then = append(w.Then, wire.Change{Delete: doneKey(id, ch)})
+		}
+		l.write(w, func(o state.Outcome) {
+			if o != state.Committed {
+				ch = at
+				l.after(clock.Second, next)
+				return
+			}
+			next()
+		})
+	}
+	return next
+}
+
 // logEnd says loudly when batch work has missed what its owners expect.
 func (l *lead) logEnd(id string, rec *jobRecord) {
 	if t, ok := l.c.trouble(id, rec, int64(clock.Wall())); ok && t.Late {
@@ -234,12 +270,11 @@
 	a.writing = true
 	// As long as the record is whole, a new leader has to reckon with its tasks.
 	w := &state.Write{Rank: state.Needed, Then: []wire.Change{{Put: prefixJob + id, Value: v}}}
-	for ch := 0; ch < a.chunks; ch++ {
-		w.Then = append(w.Then, wire.Change{Delete: doneKey(id, ch)})
-	}
+	rest := l.dropProgress(w, id, a.chunks)
 	l.write(w, func(o state.Outcome) {
 		a.writing = false
 		if o == state.Committed {
+			rest()
 			l.lg.RemoveJob(j)
 			delete(l.jobs, id)
 		}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -201,9 +201,13 @@
 func (l *lead) addJob(id string, rec *jobRecord, marked bool) *ledger.Job {
 	done := l.c.view.done[id]
 	j := l.lg.AddJob(rec.Job, clock.Micros(rec.At), clock.Now(), marked, func(i int) bool {
-		return done[i/chunkTasks].has(i % chunkTasks)
+		return done[i/l.c.chunk].has(i % l.c.chunk)
 	})
-	l.jobs[id] = &jobAux{chunks: len(done), first: rec.First}
+	chunks := 0
+	for ch := range done {
+		chunks = max(chunks, ch+1)
+	}
+	l.jobs[id] = &jobAux{chunks: chunks, first: rec.First}
 	return j
 }
 
--- a/internal/core/queue_test.go
+++ b/internal/core/queue_test.go
@@ -41,15 +41,15 @@
 
 func TestBitmap(t *testing.T) {
 	var b bitmap
-	for _, i := range []int{0, 7, 8, chunkTasks - 1} {
+	for _, i := range []int{0, 7, 8, mostChunk - 1} {
 		b.set(i)
 	}
 	c, err := decodeBitmap(b.encode())
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i := 0; i < chunkTasks; i++ {
-		if c.has(i) != (i == 0 || i == 7 || i == 8 || i == chunkTasks-1) {
+	for i := 0; i < mostChunk; i++ {
+		if c.has(i) != (i == 0 || i == 7 || i == 8 || i == mostChunk-1) {
 			t.Fatalf("bit %d is %v", i, c.has(i))
 		}
 	}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -15,18 +15,28 @@
 // The layout of the state service. Everything lies under one prefix, so that
 // one watch sees every change in the order of revisions.
 const (
-	prefix       = "firwood/"
-	keyLock      = prefix + "lead"
-	keyTypes     = prefix + "types"
-	keyWord      = prefix + "word"
-	keyToken     = prefix + "token"
-	prefixJob    = prefix + "job/"
-	prefixDone   = prefix + "done/"
-	prefixHire   = prefix + "hire/"
-	chunkTasks   = 32768 // tasks in one progress key: 4 KiB of bits
-	maxChunkName = 4
+	prefix     = "firwood/"
+	keyLock    = prefix + "lead"
+	keyTypes   = prefix + "types"
+	keyWord    = prefix + "word"
+	keyToken   = prefix + "token"
+	prefixJob  = prefix + "job/"
+	prefixDone = prefix + "done/"
+	prefixHire = prefix + "hire/"
+	mostChunk  = 32768 // tasks in one progress key, at most: 4 KiB of bits
 )
 
+// chunkOf is how many tasks one progress key holds, so that its value stays below
+// the state service's limit. All controllers have the same settings. With 4 KiB a
+// value the bits of 32,768 tasks once went over it, and were refused every time.
+func chunkOf(valueKB float64) int {
+	bytes := (valueKB*1024 - doneFrame) * 3 / 4 // base64
+	return min(max(int(bytes), 1)*8, mostChunk)
+}
+
+// doneFrame is what a progress value has beside its bits, with some to spare.
+const doneFrame = 32
+
 // lockRecord is the value of the lock key.
 type lockRecord struct {
 	Member string `json:"m"`
@@ -88,7 +98,7 @@
 		return "", 0, false
 	}
 	chunk, err := strconv.Atoi(c)
-	if err != nil || chunk < 0 || chunk >= maxChunkName {
+	if err != nil || chunk < 0 || chunk >= wire.MaxTasks {
 		return "", 0, false
 	}
 	return id, chunk, true
--- /dev/null
+++ b/internal/core/takeover_test.go
@@ -0,0 +1,49 @@
+package core
+
+import (
+	"testing"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/config"
+	"firwood.dev/firwood/wire"
+)
+
+// A new leader knows from the records which starts press, and gives no machine back
+// while tasks are in doubt that may need it in a moment: once it gave back, eight
+// seconds after its take-over, what two in three of the fleet's tasks then waited for.
+func TestANewLeaderKeepsWhatMayBeNeeded(t *testing.T) {
+	l := rebuilt(t, "i-1", "i-2")
+	c := l.c
+	wall := int64(clock.Wall())
+	for i, at := range []clock.Micros{90, 60, 30} {
+		id := []string{"req-000001", "req-000002", "req-000003"}[i]
+		c.view.jobs[id] = &jobRecord{At: wall - int64(at*clock.Second), Job: &wire.Job{
+			ID: id, Class: "c", Kind: wire.KindArray, Priority: wire.PriorityNormal, Team: "t", Tasks: 4, CPUs: 4, EstimateS: 60,
+		}}
+		c.view.done[id] = map[int]bitmap{0: nil}
+	}
+	c.cfg.Deployment.Objectives = append(c.cfg.Deployment.Objectives, config.Objective{Kind: "wait", Class: "c", WithinS: 2})
+	l = newLead(c, 10)
+	m := l.lg.Machines["i-1"] // heard, and empty; the other one is not heard
+	l.lg.HeardBy(m, l.since)
+	l.lg.Report(m, &wire.Report{Machine: "i-1", Session: 1, Seq: 1, Token: 10}, l.since)
+	at := l.since + 20*clock.Second
+	m.Heard, l.pl.Fresh = at, 3600*clock.Second
+	if d := l.pl.Plan(l.lg, at, clock.Wall(), nil); len(d.Return) != 0 {
+		t.Fatalf("%s is given back while tasks are in doubt", d.Return[0].Name)
+	}
+	for id, j := range l.lg.Jobs {
+		l.lg.Withdraw(j, at)
+		delete(l.lg.Jobs, id)
+	}
+	// With nothing in doubt, the wait is that of a class whose starts press: a leader
+	// that knows of none gives an idle machine back after eight seconds.
+	early, late := at, l.since+l.pl.P.IdleWait+clock.Second
+	if d := l.pl.Plan(l.lg, early, clock.Wall(), nil); len(d.Return) != 0 {
+		t.Fatalf("%s is given back as if no start pressed", d.Return[0].Name)
+	}
+	m.Heard = late
+	if d := l.pl.Plan(l.lg, late, clock.Wall(), nil); len(d.Return) != 1 {
+		t.Fatalf("%d machines are given back after the idle wait", len(d.Return))
+	}
+}
--- a/internal/core/word.go
+++ b/internal/core/word.go
@@ -127,6 +127,7 @@
 func (l *lead) writeWord(w vouch.Word) {
 	v, err := wordRecord{Word: w}.MarshalJSON()
 	if err != nil || len(v) > int(l.c.cfg.Deployment.State.ValueKB*1024) {
+		l.c.dropped("what is to be left word of is too large for the state service", "bytes", len(v))
 		return
 	}
 	version, ok := l.keeper.Write(w)
