--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -190,8 +190,8 @@
 			return
 		}
 		grace := clock.FromSeconds(j.Spec.SaveS)
-		if j.Spec.CheckpointS > 0 && grace > 0 && left > 2*grace+3*clock.Second {
-			return // there is time to run on and still save
+		if j.Spec.CheckpointS > 0 && grace > 0 && (left > 2*grace+3*clock.Second || left <= grace && p.State == wire.TaskRunning) {
+			return // there is time to run on and still save, or none to save at all
 		}
 		if j.Gang() && j.UnderWay {
 			l.lg.StopJob(j, grace)
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -27,7 +27,7 @@
 	m := l.lg.Machines["i-1"] // heard, and empty; the other one is not heard
 	l.lg.HeardBy(m, l.since)
 	l.lg.Report(m, &wire.Report{Machine: "i-1", Session: 1, Seq: 1, Token: 10}, l.since)
-	at := l.since + 20*clock.Second
+	at := l.since + 40*clock.Second
 	m.Heard, l.pl.Fresh = at, 3600*clock.Second
 	if d := l.pl.Plan(l.lg, at, clock.Wall(), nil); len(d.Return) != 0 {
 		t.Fatalf("%s is given back while tasks are in doubt", d.Return[0].Name)
@@ -38,7 +38,7 @@
 	}
 	// With nothing in doubt, the wait is that of a class whose starts press: a leader
 	// that knows of none gives an idle machine back after eight seconds.
-	early, late := at, l.since+l.pl.P.IdleWait+clock.Second
+	early, late := l.since+20*clock.Second, l.since+l.pl.P.IdleWait+clock.Second
 	if d := l.pl.Plan(l.lg, early, clock.Wall(), nil); len(d.Return) != 0 {
 		t.Fatalf("%s is given back as if no start pressed", d.Return[0].Name)
 	}
--- a/internal/planner/gang_test.go
+++ b/internal/planner/gang_test.go
@@ -230,3 +230,24 @@
 		t.Fatalf("%d places, %d are stopped", gang.Active(), stopping(gang))
 	}
 }
+
+// A gang that no fleet to be had can hold waits, is known, and costs nothing: once
+// every pool has refused, nothing is rented for a part of it. Others are served.
+func TestAGangThatCannotFitCostsNothing(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	huge := s.job(wire.Job{ID: "req-000001", Team: "a", Kind: wire.KindGang, Tasks: 100000, CPUs: 10, GPUs: 2, EstimateS: 60, Types: []string{"big"}})
+	if d := s.plan(); len(d.Rent) == 0 {
+		t.Fatal("nothing is tried for a gang of whose size nothing is known")
+	}
+	for i := range 6 {
+		s.machine(fmt.Sprintf("i-%d", i), "big", []string{"x", "y", "z"}[i%3], false)
+	}
+	for _, z := range []string{"x", "y", "z"} {
+		s.pl.Refused(Pool{"big", z, false}, s.now)
+	}
+	small := s.job(wire.Job{ID: "req-000002", Team: "a", Kind: wire.KindGang, Tasks: 2, CPUs: 10, GPUs: 2, EstimateS: 60})
+	s.now += 60 * clock.Second // the pools may be asked again
+	if d := s.plan(); len(d.Rent) != 0 || small.Active() != 2 || huge.Active() != 0 {
+		t.Fatalf("rented %v, %d of two tasks placed, %d of the huge gang", d.Rent, small.Active(), huge.Active())
+	}
+}
--- a/internal/planner/rent.go
+++ b/internal/planner/rent.go
@@ -148,6 +148,9 @@
 			continue
 		}
 		e.short = true
+		if j.Gang() && r.hopeless(e, only) {
+			continue
+		}
 		offers := r.offers(j, e.pressed, only, f)
 		for n > 0 {
 			v := r.best(j, offers, func(zone string) bool { return most(zone) > 0 })
@@ -173,6 +176,29 @@
 	}
 }
 
+// hopeless tells whether a gang asks for more machines than can be had: every pool
+// that it may use has refused, and all that is rented there would not do. What is
+// rented for it in part would stand idle, be given back and be rented again.
+func (r *round) hopeless(e *entry, only string) bool {
+	places := 0
+	for name, t := range r.pl.Types {
+		per := r.pl.perMachine(e.job.Need, name)
+		for _, z := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				p := Pool{name, z, spot}
+				if per == 0 || !poolAllowed(e.job, p) || only != "" && z != only {
+					continue
+				}
+				if r.pl.pool(p).refusals == 0 {
+					return false
+				}
+				places += per * r.count(p)
+			}
+		}
+	}
+	return places < len(e.job.Tasks)
+}
+
 // onlyZone picks the zone that a job wants all its tasks in, if it wants that:
 // where its tasks are, else where most of them will find room, or a pool that
 // has not just refused. Machines rented in several zones would never do.
