--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -151,7 +151,7 @@
 		ScreenMinSamples: 3, ScreenMaxSamples: 1000,
 		ScreenCV: 0.45, ScreenLag: 0.65, ScreenKS: 3.75,
 		SmoothArrival: 0.2, SmoothService: 0.1, SmoothNeed: 0.1, HorizonS: 600,
-		SpotPatienceS: 40, AgeAfterS: 150, GangWeight: 3,
+		SpotPatienceS: 40, AgeAfterS: 150, GangWeight: 5,
 	}
 }
 
