--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -96,3 +96,42 @@
 		t.Error(err)
 	}
 }
+
+// Settings that are odd but have a meaning are accepted: guarantees beyond limits or
+// beyond any fleet, guarantees in one resource alone, small values and transactions.
+// What has none is refused by the field's name.
+func TestOddDeployments(t *testing.T) {
+	for _, c := range []struct {
+		from, to, field string
+	}{
+		{`"gpus":0`, `"gpus":150,"gpus_max":100`, ""},
+		{`"gpus":0`, `"gpus":1e9`, ""},
+		{`"value_kb":8`, `"value_kb":1`, ""},
+		{`"txn_ops":24`, `"txn_ops":1`, ""},
+		{`"gpus":0`, `"gpus":-1`, "deployment.teams[0]"},
+		{`"value_kb":8`, `"value_kb":0.5`, "deployment.state.value_kb"},
+		{`"txn_ops":24`, `"txn_ops":0`, "deployment.state.txn_ops"},
+	} {
+		s := strings.Replace(odd, c.from, c.to, 1)
+		if s == odd {
+			t.Fatalf("%s is not in the settings", c.from)
+		}
+		_, err := ParsePlatform([]byte(s))
+		switch {
+		case c.field == "" && err != nil:
+			t.Errorf("%s: %v", c.to, err)
+		case c.field != "" && (err == nil || !strings.HasPrefix(err.Error(), c.field+":")):
+			t.Errorf("%s: %v, want %s named", c.to, err, c.field)
+		}
+	}
+	if _, err := ParseTuning([]byte("gang_weight: -1")); err == nil || !strings.HasPrefix(err.Error(), "gang_weight:") {
+		t.Errorf("a gang weight below 0: %v", err)
+	}
+}
+
+const odd = `{"member":"a","location":"x","serve_on":"127.0.0.1:1","peer_bind":"127.0.0.1:2",
+"outside":{"cloud":"127.0.0.1:3","state":"127.0.0.1:4"},
+"deployment":{"nodes":1,"zones":["x"],"teams":[{"name":"t","cpus":0,"cpus_max":0,"gpus":0}],
+"workers":{"report_s":1.5,"lease_s":10,"gang_wait_s":45,"gang_peer_s":6,"cancel_s":35},
+"state":{"rps":200,"write_rps":20,"value_kb":8,"txn_ops":24},"cloud":{"rps":8,"list_lag_s":3},
+"limits":{"cores":0.12,"ram_mb":98,"max_sockets":900},"clock_error_ms":100}}`
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -114,18 +114,7 @@
 	if ck := p.Job.Spec.CheckpointS; ck > 0 {
 		run = min(run, ck)
 	}
-	return (run + stopLoss) * r.part(p.Job.Need, p.Machine.Cap)
-}
-
-// part is how much of a machine a need takes, of what it takes most of.
-func (r *round) part(need, size ledger.Resources) float64 {
-	part := 0.0
-	for _, d := range [][2]int64{{need.CPU, size.CPU}, {need.GPU, size.GPU}, {need.Mem, size.Mem}} {
-		if d[1] > 0 {
-			part = max(part, float64(d[0])/float64(d[1]))
-		}
-	}
-	return part
+	return (run + stopLoss) * part(p.Job.Need, p.Machine.Cap)
 }
 
 // fetchTime is how long, in seconds, a machine takes until it has a job's image:
--- a/internal/planner/guarantee_test.go
+++ b/internal/planner/guarantee_test.go
@@ -42,3 +42,25 @@
 		}
 	}
 }
+
+// A machine is as full as what is shortest on it: with all cards taken there is no
+// room on it, however many processors are left, and no spare to count on.
+func TestRoomIsWhatIsShortest(t *testing.T) {
+	size := ledger.Resources{CPU: 12000, GPU: 2000, Mem: 96000}
+	for _, c := range []struct {
+		used ledger.Resources
+		want float64
+	}{
+		{ledger.Resources{}, 1},
+		{ledger.Resources{CPU: 5000, GPU: 1000, Mem: 36000}, 0.5},
+		{ledger.Resources{CPU: 10000, GPU: 2000, Mem: 72000}, 0},
+		{ledger.Resources{CPU: 3000, Mem: 72000}, 0.25},
+	} {
+		if got := openPart(size.Sub(c.used), size); !near(got, c.want) {
+			t.Errorf("%v of %v used: %v is open, want %v", c.used, size, got, c.want)
+		}
+	}
+	if got := openPart(ledger.Resources{CPU: 4000}, ledger.Resources{CPU: 16000}); !near(got, 0.25) {
+		t.Errorf("a machine without cards: %v", got)
+	}
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -44,9 +44,7 @@
 		longer := max(run-r.busyFor(m), 0)
 		s -= 8 * longer / (longer + 30)
 	}
-	if m.Cap.CPU > 0 {
-		s += 5 * float64(m.Used().CPU+r.held[m.Rank].CPU) / float64(m.Cap.CPU)
-	}
+	s += 5 * part(m.Used().Add(r.held[m.Rank]), m.Cap)
 	return s
 }
 
--- a/internal/planner/spares.go
+++ b/internal/planner/spares.go
@@ -29,6 +29,22 @@
 	return dm.wait == 0 && len(pl.Waits) == 0 || dm.wait > 0 && dm.wait < boot.Seconds()
 }
 
+// part is how much of a machine a need takes, of what it takes most of.
+func part(need, size ledger.Resources) float64 {
+	most := 0.0
+	for _, d := range [][2]int64{{need.CPU, size.CPU}, {need.GPU, size.GPU}, {need.Mem, size.Mem}} {
+		if d[1] > 0 {
+			most = max(most, float64(d[0])/float64(d[1]))
+		}
+	}
+	return most
+}
+
+// openPart is how much of a machine is left for others: of what is shortest on it.
+// Reckoned in processors alone, machines whose cards were all taken once counted as
+// room for spares.
+func openPart(free, size ledger.Resources) float64 { return max(1-part(size.Sub(free), size), 0) }
+
 // settledFor is how long a replica has to run before it may be moved.
 const settledFor = 45 * clock.Second
 
@@ -46,13 +62,13 @@
 		if m.Draining || !m.Synced {
 			return nil // one at a time
 		}
-		spare += float64(m.Free().CPU) / float64(max(m.Cap.CPU, 1))
+		spare += openPart(m.Free(), m.Cap)
 	}
 	for _, m := range r.machines {
-		if m.Spot || !m.Usable() || m.Idle() || 2*m.Used().CPU > m.Cap.CPU || spare-1 < float64(keep) {
+		if m.Spot || !m.Usable() || m.Idle() || part(m.Used(), m.Cap) > 0.5 || spare-1 < float64(keep) {
 			continue
 		}
-		if best != nil && best.Used().CPU <= m.Used().CPU {
+		if best != nil && part(best.Used(), best.Cap) <= part(m.Used(), m.Cap) {
 			continue
 		}
 		if r.movable(m) {
@@ -73,7 +89,7 @@
 		}
 		placed := false
 		for _, o := range r.machines {
-			if o == m || o.Spot && !j.Spec.Spot || !o.Usable() || o.Replicas() == 0 || o.Used().CPU < m.Used().CPU {
+			if o == m || o.Spot && !j.Spec.Spot || !o.Usable() || o.Replicas() == 0 || part(o.Used(), o.Cap) < part(m.Used(), m.Cap) {
 				continue
 			}
 			// Within a zone nothing changes for the job's wishes; else they
@@ -128,7 +144,7 @@
 		fleet++
 		switch {
 		case m.Usable():
-			room := float64(r.free(m).CPU) / float64(max(m.Cap.CPU, 1))
+			room := openPart(r.free(m), m.Cap)
 			spare += room
 			if !m.Idle() {
 				beside += room
