--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -138,6 +138,8 @@
 	Errors     int
 	Restarts   int
 	FirstStart clock.Micros // steady clock
+	// Aged: it was begun because it had waited too long.
+	Aged bool
 	// Progress is the most that is safe of any task; a gang's tasks share it.
 	Progress float64
 }
--- a/internal/planner/guarantee_test.go
+++ b/internal/planner/guarantee_test.go
@@ -64,3 +64,34 @@
 		t.Errorf("a machine without cards: %v", got)
 	}
 }
+
+// What was begun because it had waited too long is not stopped for what a guarantee
+// covers: else each plan places it, and stops it again.
+func TestNothingIsPlacedOnlyToBeStopped(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}, "b": {GPU: 100000}})
+	m := s.machine("i-0", "big", "x", false)
+	for _, z := range s.pl.Zones {
+		s.pl.pool(Pool{"big", z, false}).blockedUntil = 1e15
+	}
+	old := s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 2, CPUs: 5, GPUs: 1, EstimateS: 50})
+	s.now += s.pl.P.AgeAfter
+	owed := s.job(wire.Job{ID: "req-000002", Team: "b", Tasks: 2, CPUs: 5, GPUs: 1, EstimateS: 50})
+	for range 3 {
+		s.plan()
+		s.shows(m, wire.TaskRunning)
+		if old.Active() != 2 || stopping(old) != 0 || owed.Active() != 0 {
+			t.Fatalf("%d old tasks are placed, %d of them stopping, %d owed ones placed", old.Active(), stopping(old), owed.Active())
+		}
+	}
+	// Other work beyond a guarantee does give way.
+	s = newScene(map[string]ledger.Team{"a": {}, "b": {GPU: 100000}})
+	m = s.machine("i-0", "big", "x", false)
+	young := s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 2, CPUs: 5, GPUs: 1, EstimateS: 50})
+	s.plan()
+	s.shows(m, wire.TaskRunning)
+	s.job(wire.Job{ID: "req-000002", Team: "b", Tasks: 2, CPUs: 5, GPUs: 1, EstimateS: 50})
+	s.plan()
+	if stopping(young) != 2 {
+		t.Fatalf("%d tasks are stopped for a guarantee of two", stopping(young))
+	}
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -169,6 +169,7 @@
 		} else {
 			placed = r.placeTasks(e)
 		}
+		e.job.Aged = e.job.Aged || placed > 0 && e.aged && !e.owed
 		if placed > 0 && !e.job.Marked {
 			d.Mark = append(d.Mark, e.job)
 		}
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -59,6 +59,11 @@
 	if v.Priority > j.Priority {
 		return j.Priority == 0 || e.owed || !r.owed[v] || v.Spec.Team == j.Spec.Team
 	}
+	if v.Aged {
+		// It had waited too long. What guarantees cover once stopped such work as soon
+		// as it was placed, and the next plan placed it again, thousands of times.
+		return false
+	}
 	return e.owed && !r.owed[v] && v.Spec.Team != j.Spec.Team && v.Priority == j.Priority && !v.Service()
 }
 
