Server: nothing is worked on after a close was decided

Cause: a reply that comes before the end of its request's turn is written at once, and its wake comes later. evio closes only once it has written, so that wake ran the next of several requests on the connection, wrote its answer over the one under way and took the close back. TestOrderOnOneConnection failed by it 2 times in 60; 0 in 150 now. The new test shows it without a race, and fails without the guard.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -62,6 +62,7 @@
 	kind   kind
 	busy   bool // a request is being worked on
 	last   bool // the peer will close after this answer
+	over   bool // to be closed once what was written is out
 	going  bool // told to go
 
 	mu    sync.Mutex
@@ -254,11 +255,21 @@
 // maxWaiting bounds what a client may send while its request is worked on.
 const maxWaiting = 128 << 10
 
+// data takes what came in on a connection, or a wake. A reply that was there at
+// once has still woken the loop, and evio closes only after it has written: such a
+// wake would have the next of several requests worked on, its answer written over
+// the one that is on its way, and the close taken back.
 func (s *Server) data(c evio.Conn, in []byte) ([]byte, evio.Action) {
 	k, ok := c.Context().(*conn)
-	if !ok {
+	if !ok || k.over {
 		return nil, evio.Close
 	}
+	out, action := s.serve(k, in)
+	k.over = action == evio.Close
+	return out, action
+}
+
+func (s *Server) serve(k *conn, in []byte) ([]byte, evio.Action) {
 	if k.frames != nil {
 		k.since = clock.Now()
 		if k.drop {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/tidwall/evio"
+
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/peer"
 	"firwood.dev/firwood/internal/sockets"
@@ -182,6 +184,41 @@
 	}
 }
 
+// still is a connection whose wakes are left to the test.
+type still struct {
+	evio.Conn
+	context any
+	wakes   int
+}
+
+func (c *still) Context() any     { return c.context }
+func (c *still) SetContext(v any) { c.context = v }
+func (c *still) AddrIndex() int   { return 0 }
+func (c *still) Wake()            { c.wakes++ }
+
+// A reply that is there before the request's turn ends is written then, and its
+// wake comes later. After a close has been decided it must not bring another answer.
+func TestAWakeAfterTheCloseSaysNothing(t *testing.T) {
+	s := New(Config{Sockets: sockets.New(10)}, &echo{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c := &still{}
+	if _, _, action := s.opened(c); action != evio.None {
+		t.Fatal("no room")
+	}
+	withdraw := "POST /api/jobs/req-000001/withdraw HTTP/1.1\r\nContent-Length: 0\r\n\r\n"
+	out, action := s.data(c, []byte(withdraw+withdraw+withdraw))
+	if action != evio.Close || strings.Count(string(out), "HTTP/1.1 503") != 1 {
+		t.Fatalf("three at once: %q, action %v", out, action)
+	}
+	for i := 0; i < 3; i++ {
+		if out, action := s.data(c, nil); len(out) > 0 || action != evio.Close {
+			t.Fatalf("wake %d: %q, action %v", i, out, action)
+		}
+	}
+	if c.wakes != 1 {
+		t.Fatalf("%d requests were worked on", c.wakes)
+	}
+}
+
 // More connections than the bound allows are closed at once; the others live.
 func TestBoundOfConnections(t *testing.T) {
 	addr, _ := start(t, &echo{}, 5)
