--- /dev/null
+++ b/internal/core/faulty_test.go
@@ -0,0 +1,93 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/wire"
+)
+
+// One machine that fails jobs is drained, and given back when it is empty; one that
+// cannot be given back, since a replica runs on it, is tried again, at longer and
+// longer intervals. When others fail too, none is drained: all pause.
+func TestFaultyMachines(t *testing.T) {
+	var names []string
+	for i := range 12 {
+		names = append(names, fmt.Sprintf("i-%02d", i))
+	}
+	l := rebuilt(t, names...)
+	l.c.view.jobs["req-000001"] = &jobRecord{At: int64(clock.Wall()), Job: &wire.Job{
+		ID: "req-000001", Class: "c", Kind: wire.KindService, Team: "t", Tasks: 1, CPUs: 1,
+	}}
+	l.c.view.done["req-000001"] = map[int]bitmap{0: nil}
+	l = newLead(l.c, 10)
+	now := l.since
+	for i, n := range names {
+		r := &wire.Report{Machine: n, Session: 1, Seq: 1, Token: 10}
+		if i == 0 {
+			r.Tasks = []wire.TaskReport{{Task: "req-000001/0", Attempt: 1, State: wire.TaskRunning}}
+		}
+		m := l.lg.Machines[n]
+		l.lg.HeardBy(m, now)
+		l.lg.Report(m, r, now)
+	}
+	m := l.lg.Machines["i-00"]
+	if m.Idle() {
+		t.Fatal("the replica is not known")
+	}
+	fail := func(n string, job string) {
+		l.lg.Machines[n].FaultyJobs[job] = true
+		l.blame(l.lg.Machines[n], now)
+	}
+	fail("i-00", "req-000002")
+	if m.Draining {
+		t.Fatal("drained for one job")
+	}
+	held := trialAfter
+	for round := range 3 {
+		fail("i-00", "req-000003")
+		fail("i-00", "req-000004")
+		if !m.Draining {
+			t.Fatalf("round %d: not drained for two jobs", round)
+		}
+		now += held - 1
+		l.tryAgain(m, l.machines["i-00"], now)
+		if !m.Draining {
+			t.Fatalf("round %d: tried again too soon", round)
+		}
+		now++
+		l.tryAgain(m, l.machines["i-00"], now)
+		if m.Draining {
+			t.Fatalf("round %d: not tried again", round)
+		}
+		held *= 2
+	}
+	idle := l.lg.Machines["i-01"]
+	now += 2 * commonFor
+	fail("i-01", "req-000002")
+	fail("i-01", "req-000003")
+	now += 2 * trialAfter
+	l.tryAgain(idle, l.machines["i-01"], now)
+	if !idle.Draining {
+		t.Fatal("an empty faulty machine is tried again in place of being given back")
+	}
+
+	now += 2 * commonFor
+	for _, n := range names[2:] {
+		fail(n, "req-000002")
+	}
+	for _, n := range names[2:] {
+		fail(n, "req-000003")
+		m := l.lg.Machines[n]
+		if m.Draining || m.HeldUntil <= now {
+			t.Fatalf("%s: draining %v, held until %d at %d, while all fail", n, m.Draining, m.HeldUntil, now)
+		}
+	}
+	// Where it fails on after that, the machine is at fault after all.
+	now += commonFor
+	fail("i-05", "req-000003")
+	if !l.lg.Machines["i-05"].Draining {
+		t.Fatal("a machine that fails for a minute is never blamed")
+	}
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -121,6 +121,7 @@
 		if a == nil || a.deleting {
 			continue
 		}
+		l.tryAgain(m, a, now)
 		// When a zone comes back its machines do one by one: once the last two
 		// thirds of it were deleted when the first third was heard again.
 		quiet := now - max(m.Heard, l.awake, l.deafAt[m.Zone])
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -84,6 +84,7 @@
 	notUntil clock.Micros // no direct messages before this instant
 	deleting bool
 	probes   probes
+	faults   faults
 	// booting: the cloud's last list said so. Of a machine that an earlier
 	// leader rented this alone tells that it has never come up.
 	booting bool
@@ -355,10 +356,7 @@
 		}
 		t.NotBefore = now + wait
 		l.c.log.Info("task failed", "job", j.Spec.ID, "task", p.Index, "machine", p.Machine.Name, "fails", t.Fails)
-		if m := p.Machine; len(m.FaultyJobs) >= 2 && !m.Draining {
-			l.c.log.Info("machine is faulty", "machine", m.Name)
-			l.drain(m)
-		}
+		l.blame(p.Machine, now)
 	case ledger.WhyVanished:
 		if !j.Withdrawn {
 			j.Restarts++
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -279,6 +279,9 @@
 	// DeafUntil: a direct message got no answer lately, so until then it is not
 	// known that the worker can be told anything, though it may be heard.
 	DeafUntil clock.Micros
+	// HeldUntil: tasks fail there for a cause that is not its own, so until then it
+	// gets nothing new.
+	HeldUntil clock.Micros
 	// FaultyJobs counts the jobs that failed on it.
 	FaultyJobs map[string]bool
 
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -140,7 +140,7 @@
 // usable tells whether a machine may get tasks now: it is heard, and nothing
 // speaks against its being told.
 func (r *round) usable(m *ledger.Machine) bool {
-	return m.Usable() && r.now >= m.DeafUntil && r.pl.hears(m, r.now)
+	return m.Usable() && r.now >= max(m.DeafUntil, m.HeldUntil) && r.pl.hears(m, r.now)
 }
 
 // sized returns n zeroed elements, in the given memory if that is enough.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -441,6 +441,24 @@
 	}
 }
 
+// A machine that is held because tasks fail on many gets nothing, and nothing is rented
+// in its place.
+func TestHeldMachineGetsNoWork(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	m := s.machine("i-0", "small", "x", false)
+	m.HeldUntil = s.now + 2*clock.Second
+	j := s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 2, CPUs: 2, EstimateS: 50})
+	if d := s.pl.Plan(s.l, s.now, s.now, nil); j.Active() != 0 || len(d.Rent) != 0 {
+		t.Fatalf("%d tasks are placed, %v is rented though there will be room in a moment", j.Active(), d.Rent)
+	}
+	s.now = m.HeldUntil
+	m.Heard = s.now
+	s.pl.Plan(s.l, s.now, s.now, nil)
+	if j.Active() != 2 {
+		t.Fatalf("%d tasks are placed when the time is over", j.Active())
+	}
+}
+
 // A machine that is heard is not by that one that can be told: while direct
 // messages to it get no answer, and once it is not heard, it gets no work; the
 // first sign that it can be told ends that.
