--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -103,8 +103,14 @@
 	c.toWorkers = client.NewPool(c.sockets)
 	c.chunk = chunkOf(d.State.ValueKB)
 	w := &d.Workers
-	// A worker tries each other node for four seconds, and waits one before.
-	trip := clock.FromSeconds(1.25*w.ReportS) + clock.Second/2 + clock.Micros(len(cfg.Others))*5*clock.Second
+	// A worker waits a second before each other node, and tries it for four seconds.
+	// With one zone for all there is no cut that leaves it with one node alone: the
+	// others answer at once, and what rights bridge is an outage of the state service.
+	try := 5 * clock.Second
+	if len(d.Zones) == 1 {
+		try = clock.Second
+	}
+	trip := clock.FromSeconds(1.25*w.ReportS) + clock.Second/2 + clock.Micros(len(cfg.Others))*try
 	c.times = vouch.Times(clock.FromSeconds(w.CancelS), clock.FromSeconds(w.LeaseS), 3*beatEvery, trip)
 	c.voucher = vouch.NewVoucher(c.times, uint64(clock.Wall()), clock.Now())
 	for _, t := range d.Teams {
--- /dev/null
+++ b/internal/core/outage_test.go
@@ -0,0 +1,77 @@
+package core
+
+import (
+	"log/slog"
+	"testing"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/config"
+	"firwood.dev/firwood/internal/server"
+	"firwood.dev/firwood/wire"
+)
+
+// Where all machines and controllers are in one zone, leases that are too short to
+// bridge a cut are kept alive in an outage: the leader whose lock cannot be renewed
+// answers, without commands, the workers that have been sent on and have come back,
+// as long as its right lasts, and no longer.
+func TestShortLeasesOutliveAnOutage(t *testing.T) {
+	with := func(zones ...string) *Core {
+		cfg := &config.Platform{Member: "a", Location: zones[0], Others: []config.Other{
+			{Member: "b", Location: zones[0], Address: "127.0.0.1:1"}, {Member: "c", Location: zones[0], Address: "127.0.0.1:1"},
+		}}
+		cfg.Outside.State, cfg.Outside.Cloud = "127.0.0.1:1", "127.0.0.1:1"
+		d := &cfg.Deployment
+		d.Zones = zones
+		d.Workers = config.Workers{ReportS: 1.5, LeaseS: 10, GangWaitS: 45, GangPeerS: 6, CancelS: 35}
+		d.State = config.State{RPS: 100, WriteRPS: 20, ValueKB: 4, TxnOps: 8}
+		d.Limits = config.Limits{Cores: 1, RAMMB: 100, MaxSockets: 900}
+		return New(cfg, config.DefaultTuning(), slog.New(slog.DiscardHandler))
+	}
+	if c := with("x", "y"); c.times.For != 0 {
+		t.Fatal("rights where a cut of a zone would put off the proof that a lease is over")
+	}
+	c := with("x")
+	lease, cancel := 10*clock.Second, 35*clock.Second
+	if c.times.For < lease || c.times.Settle+c.times.For+lease >= cancel {
+		t.Fatalf("a right lasts %d us", c.times.For)
+	}
+	c.view.loaded = true
+	l := newLead(c, 9)
+	c.lead = l // its lock is not held any more: nothing was ever renewed
+	if c.entitled() {
+		t.Fatal("entitled without a lock")
+	}
+	now := 100 * clock.Second
+	rep := &wire.Report{Machine: "i-1", Zone: "x", Token: 9}
+	if c.vouchFor(rep, &server.Reply{}, now) || c.vouchFor(rep, &server.Reply{}, now) {
+		t.Fatal("vouches though it never knew of all withdrawals")
+	}
+	clear(c.sentOn)
+	l.knewAt = now
+	end := now + c.times.For
+	var last, longest clock.Micros
+	// The worker reports, is sent on, and comes back after a round of the others.
+	for at, sent := now, false; at < end+lease; at += clock.Second {
+		if c.vouchFor(rep, &server.Reply{}, at) {
+			if at >= end {
+				t.Fatalf("vouches %d us after its right has ended", at-end)
+			}
+			if last != 0 {
+				longest = max(longest, at-last)
+			}
+			last, sent = at, false
+			continue
+		}
+		if sent && at < end {
+			t.Fatal("a worker that has come back is not answered")
+		}
+		sent = true
+	}
+	if longest >= lease/2 || last < end-lease/2 {
+		t.Fatalf("answers lie up to %d us apart, the last %d us before the end", longest, end-last)
+	}
+	c.voucher.Hear(now, 10, c.voucher.Stamp(now)) // a newer leader is there
+	if c.vouchFor(rep, &server.Reply{}, now) || c.vouchFor(rep, &server.Reply{}, now) {
+		t.Fatal("vouches while a newer leader is heard")
+	}
+}
