Leaders that lose their workers hand over in time for leases of ten seconds

Cause: a worker waits 4 s for an answer, is sent back to the leader it cannot reach, and its lease is over. The leader learnt 6 s after the cut that others are asked; without links between controllers never. Who may answer in its name sent on first. Ruled out: cuts from the state service or from everything, standstills: nothing killed. Changed: hand-over when all fall silent at once; members tell of workers by way of the state service; answers before sending on; a lapse of the entitlement counts as standstill.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,21 +54,24 @@
 	submitting map[string][]*server.Reply
 	counts     map[string]peer.Count // progress of jobs as the leader last told
 	workers    map[string]clock.Micros
-	// voucher is this member's right to keep leases alive, sentOn the workers
+	// voucher is this member's right to keep leases alive, held   the workers
 	// that were sent to the leader and may come back, stamps the others' clocks
 	// as last heard.
 	voucher *vouch.Voucher
-	sentOn  map[string]clock.Micros
+	held    map[string]clock.Micros
 	stamps  map[string]vouch.Stamp
 	// mayPromise are zones that this member, when it last led, may have promised
 	// to vouch for nobody in.
 	mayPromise map[string]bool
 	times      vouch.Config
-	tickedAt   clock.Micros
-	nextBeat   clock.Micros
-	dropLogAt  clock.Micros
-	dropsTold  int64
-	unfit      atomic.Bool // users should not be sent here
+	// asked is what other members have said of workers, by way of the state service.
+	asked     map[string]asked
+	nextAsked clock.Micros
+	tickedAt  clock.Micros
+	nextBeat  clock.Micros
+	dropLogAt clock.Micros
+	dropsTold int64
+	unfit     atomic.Bool // users should not be sent here
 
 }
 
@@ -97,8 +100,9 @@
 		submitting: map[string][]*server.Reply{},
 		counts:     map[string]peer.Count{},
 		workers:    map[string]clock.Micros{},
-		sentOn:     map[string]clock.Micros{},
+		held:       map[string]clock.Micros{},
 		stamps:     map[string]vouch.Stamp{},
+		asked:      map[string]asked{},
 	}
 	c.toWorkers = client.NewPool(c.sockets)
 	c.chunk = chunkOf(d.State.ValueKB)
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -12,8 +12,8 @@
 // silentAfter is when a machine that has not reported counts as silent: its
 // longest report interval, an answer that never came, and the way to the
 // leader by way of another node.
-func (l *lead) silentAfter() clock.Micros {
-	return clock.FromSeconds(1.25*l.c.cfg.Deployment.Workers.ReportS) + 6500*clock.Millisecond
+func (c *Core) silentAfter() clock.Micros {
+	return clock.FromSeconds(1.25*c.cfg.Deployment.Workers.ReportS) + 6500*clock.Millisecond
 }
 
 // freshFor is how long ago a machine that can be heard may have reported last:
@@ -42,24 +42,51 @@
 	return h.up >= 3 && 4*h.fresh < h.up && 3*int(peers) >= h.up
 }
 
+// none tells that nobody is heard, of enough machines for that to mean something.
+func (h *hearing) none() bool { return h.up >= 3 && h.fresh == 0 }
+
 // standOff is how long a leader that was cut off leaves the lead to others.
 const standOff = 30 * clock.Second
 
 // handOver gives the lead to a controller that the workers do reach: their
-// leases would run out while this one renews its lock.
+// leases would run out while this one renews its lock. Where all machines fall silent
+// at once it does not wait until another says that it is asked: a worker that has
+// waited for an answer for four seconds, and is then sent back here, is lost with a
+// lease of ten. A leader that has never heard them does not pass the lead on.
 func (l *lead) handOver(h hearing, now clock.Micros) bool {
-	if now-l.awake < l.silentAfter() {
+	var others uint32
+	able := false // another controller could lead
+	for _, b := range l.c.beats {
+		if now-b.at < 2*clock.Second && b.beat.Served {
+			others = max(others, b.beat.Workers)
+			able = true
+		}
+	}
+	if l.hadMost && able && h.none() {
+		l.c.log.Info("no worker is heard any more", "of", h.up)
+		l.resign(now)
+		return true
+	}
+	l.hadMost = l.hadMost || h.mostly()
+	if now-l.awake < l.c.silentAfter() {
 		return false
 	}
-	for _, b := range l.c.beats {
-		if now-b.at < 2*clock.Second && b.beat.Served && h.lost(b.beat.Workers) {
-			l.c.log.Info("few workers are heard, others hear them", "heard", h.fresh, "of", h.up, "others", b.beat.Workers)
-			l.c.act(l.c.el.Resign(now, standOff))
-			l.c.stepDown("handed over")
-			return true
+	for _, a := range l.c.asked {
+		if now-a.at < askedFor {
+			others = max(others, a.workers)
 		}
 	}
-	return false
+	if !h.lost(others) {
+		return false
+	}
+	l.c.log.Info("few workers are heard, others hear them", "heard", h.fresh, "of", h.up, "others", others)
+	l.resign(now)
+	return true
+}
+
+func (l *lead) resign(now clock.Micros) {
+	l.c.act(l.c.el.Resign(now, standOff))
+	l.c.stepDown("handed over")
 }
 
 // confirm renews the rights of the others to keep leases alive: the stamps that
@@ -91,7 +118,7 @@
 // watchMachines gives up machines that are stuck, silent, taken or over.
 func (l *lead) watchMachines(now clock.Micros) {
 	l.bounds(now)
-	silent := l.silentAfter()
+	silent := l.c.silentAfter()
 	zones := map[string]*hearing{}
 	var all hearing
 	for _, m := range l.lg.Machines {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -30,7 +30,10 @@
 	since    clock.Micros
 	// awake is since when this process has been able to hear anybody: what was
 	// silent while it stood still itself is not taken for silent.
-	awake clock.Micros
+	awake  clock.Micros
+	lapsed bool // the entitlement was over at the last tick
+	// hadMost: a good part of the machines was heard in this lead.
+	hadMost bool
 	// deafAt is when a zone was last not mostly heard.
 	deafAt map[string]clock.Micros
 
@@ -242,7 +245,7 @@
 // on any goroutine, right before something is sent.
 func (l *lead) until() clock.Micros { return clock.Micros(l.deadline.Load()) }
 
-// woke takes the news that the process has stood still.
+// woke takes the news that the process has stood still, or was not entitled to act.
 func (l *lead) woke(now clock.Micros) { l.awake, l.pl.Awake = now, now }
 
 // renew takes over the election's view of the entitlement.
@@ -373,8 +376,15 @@
 func (l *lead) tick(now clock.Micros) {
 	l.renew()
 	if !l.c.entitled() {
+		l.lapsed = true
 		return // nothing may be sent; the lock may yet be renewed
 	}
+	if l.lapsed {
+		// It has answered nobody, so who was not heard meanwhile is not silent. After
+		// an outage of 75 s a leader once handed over for hearing nobody.
+		l.lapsed = false
+		l.woke(now)
+	}
 	if now >= l.slowAt {
 		l.slowAt = now + 500*clock.Millisecond
 		l.watchMachines(now)
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -23,7 +23,9 @@
 	prefixJob  = prefix + "job/"
 	prefixDone = prefix + "done/"
 	prefixHire = prefix + "hire/"
-	mostChunk  = 32768 // tasks in one progress key, at most: 4 KiB of bits
+	// prefixAsked is followed by a member.
+	prefixAsked = prefix + "asked/"
+	mostChunk   = 32768 // tasks in one progress key, at most: 4 KiB of bits
 )
 
 // chunkOf is how many tasks one progress key holds, so that its value stays below
@@ -84,6 +86,12 @@
 	Word vouch.Word `json:"w"`
 }
 
+// askedRecord is how many workers ask a member.
+type askedRecord struct {
+	Workers uint32 `json:"n"`
+	At      int64  `json:"at"`
+}
+
 // doneRecord is the value of a progress key. That it exists says that tasks of
 // the job may have been started.
 type doneRecord struct {
--- a/internal/core/records_easyjson.go
+++ b/internal/core/records_easyjson.go
@@ -761,3 +761,79 @@
 func (v *doneRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore4(l, v)
 }
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore5(in *jlexer.Lexer, out *askedRecord) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "n":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Workers = uint32(in.Uint32())
+			}
+		case "at":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.At = int64(in.Int64())
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore5(out *jwriter.Writer, in askedRecord) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"n\":"
+		out.RawString(prefix[1:])
+		out.Uint32(uint32(in.Workers))
+	}
+	{
+		const prefix string = ",\"at\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.At))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v askedRecord) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore5(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v askedRecord) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore5(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *askedRecord) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore5(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *askedRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore5(l, v)
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -387,18 +387,18 @@
 		Served: c.store.LastOK() > c.store.LastRefused() && now-c.store.LastOK() < 12*clock.Second,
 	}
 	b.Leader, b.Token = c.el.Holder()
-	lately := clock.FromSeconds(2 * c.cfg.Deployment.Workers.ReportS)
 	for m, at := range c.workers {
-		if now-at > lately {
+		if now-at > c.silentAfter() {
 			delete(c.workers, m)
 		}
 	}
-	for m, at := range c.sentOn {
+	for m, at := range c.held {
 		if now-at > clock.FromSeconds(c.cfg.Deployment.Workers.LeaseS) {
-			delete(c.sentOn, m)
+			delete(c.held, m)
 		}
 	}
 	b.Workers = uint32(len(c.workers))
+	c.tellAsked(now)
 	if c.lead != nil {
 		b.Leader, b.Token = c.cfg.Member, c.lead.lg.Issued()
 		for id, j := range c.lead.lg.Jobs {
@@ -420,9 +420,10 @@
 }
 
 // vouchFor keeps the lease of a worker alive that cannot reach the leader any
-// more than this member can. It is held here for one report at a time: it is
-// sent on first, and answered only when it has come back, so a worker that does
-// reach the leader is never kept from it.
+// more than this member can. It is held here for one report at a time: after each
+// answer it is sent on, so a worker that does reach the leader is not kept from it.
+// The answer comes first: a worker that was sent on first had tried a leader out of
+// reach for four seconds, came here, tried it again, and was back after its lease.
 func (c *Core) vouchFor(rep *wire.Report, r *server.Reply, now clock.Micros) bool {
 	if c.lead != nil {
 		c.voucher.Led(c.lead.lg.Issued(), c.lead.knewAt)
@@ -434,20 +435,19 @@
 	if _, newest := c.el.Holder(); !ok || newest > token {
 		return false
 	}
-	at, sent := c.sentOn[rep.Machine]
-	if !sent || now-at > clock.FromSeconds(c.cfg.Deployment.Workers.LeaseS) {
-		c.sentOn[rep.Machine] = now
+	w := &c.cfg.Deployment.Workers
+	at, held := c.held[rep.Machine]
+	// While it is on its way its lease is not renewed: shortly before the right ends
+	// it is kept.
+	if held && now-at <= clock.FromSeconds(w.LeaseS) && until-now > clock.FromSeconds(2*w.ReportS)+4*clock.Second {
+		delete(c.held, rep.Machine)
 		return false
 	}
-	// It comes back here every time, and while it is on its way its lease is not
-	// renewed: shortly before the right ends it is kept.
-	if w := &c.cfg.Deployment.Workers; until-now > clock.FromSeconds(2*w.ReportS)+4*clock.Second {
-		delete(c.sentOn, rep.Machine)
-	}
 	body, err := wire.Reply{Token: token, Commands: []wire.Command{}}.MarshalJSON()
 	if err != nil {
 		return false
 	}
+	c.held[rep.Machine] = now
 	// The answer goes out soon, or not at all.
 	until = min(until, now+clock.Second)
 	c.voucher.Vouched(until)
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -243,6 +243,13 @@
 			return
 		}
 		c.seenWord(r.Word, version)
+	case strings.HasPrefix(key, prefixAsked):
+		var r askedRecord
+		if err := r.UnmarshalJSON(value); err != nil {
+			c.malformed(key, err)
+			return
+		}
+		c.seenAsked(key, r)
 	case strings.HasPrefix(key, prefixJob):
 		id := key[len(prefixJob):]
 		r := &jobRecord{}
