--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -20,8 +20,9 @@
 //  3. Attempts of a task only grow, over all leaders: the token is their upper
 //     part.
 //  4. What an earlier leader started is in doubt until every machine that may
-//     have existed then is accounted for. Doubt counts as running for tasks,
-//     team limits, zones and spread.
+//     have existed then is accounted for, or until a report made under our token
+//     has the task: one from before may be a late copy. Doubt counts as running for
+//     tasks, team limits, zones and spread.
 //  5. A result is durable before its task is forgotten.
 //  6. Type, zone, kind, team limit and the job's other tasks are checked again
 //     when a start is put into a message.
@@ -93,7 +94,8 @@
 // Task is one task of a job.
 type Task struct {
 	State TaskState
-	// Doubt: an earlier leader may have started it somewhere.
+	// Doubt: an earlier leader may have started it somewhere. It may have a place
+	// all the same, as told by what may be a late copy of a report.
 	Doubt bool
 	// Durable: its completion is in the state service.
 	Durable bool
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -160,6 +160,7 @@
 		k.session++
 		k.leaseFrom = w.now
 		k.tasks = map[string]*fakeTask{}
+		k.hasAnswer = false // answers to reports of an earlier session are dropped
 	}
 }
 
@@ -434,6 +435,19 @@
 				}
 			}
 		}
+		lateCopy := func() {
+			// A copy of a report comes late, perhaps to another leader.
+			if len(w.copies) == 0 {
+				return
+			}
+			r := w.copies[len(w.copies)-1-w.rng.IntN(min(len(w.copies), 5))]
+			if m := w.lg.Machines[r.Machine]; m != nil && r.Token <= w.token {
+				w.lg.HeardBy(m, w.now)
+				w.lg.Report(m, r, w.now)
+				w.makeDurable()
+				w.lg.Orders(m, w.now) // nobody waits for the answer any more
+			}
+		}
 		actions := map[string]func(){
 			"report":  exchange,
 			"answer":  func() { w.answered(worker()) },
@@ -499,19 +513,7 @@
 				// What has nothing due goes off the list; it must come back.
 				w.lg.Outbox(func(m *Machine) bool { return w.rng.IntN(2) == 0 || due(m) })
 			},
-			"copy": func() {
-				// A copy of a report comes late, perhaps to another leader.
-				if len(w.copies) == 0 {
-					return
-				}
-				r := w.copies[w.rng.IntN(len(w.copies))]
-				if m := w.lg.Machines[r.Machine]; m != nil && r.Token <= w.token {
-					w.lg.HeardBy(m, w.now)
-					w.lg.Report(m, r, w.now)
-					w.makeDurable()
-					w.lg.Orders(m, w.now) // nobody waits for the answer any more
-				}
-			},
+			"copy": lateCopy,
 			"again": func() {
 				// A copy of a direct message that was carried out comes again.
 				if len(w.old) > 0 {
@@ -586,6 +588,15 @@
 			"takeOver": func() {
 				if w.rng.IntN(12) == 0 {
 					w.takeOver()
+					// What a new leader hears first of a machine may be a copy of what
+					// was, and the next what is.
+					for range w.rng.IntN(4) {
+						lateCopy()
+					}
+					k := worker()
+					w.exchange(k, 5)
+					w.exchange(k, 5)
+					place()
 				}
 			},
 			"withdraw": func() {
@@ -616,6 +627,20 @@
 					w.fatal("books of %s: %v, placements %v", m.Name, m.Used(), sum)
 				}
 			}
+			for id, j := range w.lg.Jobs {
+				waiting, doubts := 0, 0
+				for i := range j.Tasks {
+					if j.Tasks[i].State == Waiting {
+						waiting++
+					}
+					if j.Tasks[i].Doubt {
+						doubts++
+					}
+				}
+				if waiting != j.WaitingCount() || doubts != j.Doubts() {
+					w.fatal("books of %s: %d waiting of %d, %d in doubt of %d", id, j.WaitingCount(), waiting, j.Doubts(), doubts)
+				}
+			}
 		}
 		total += w.starts
 		gangs += w.gangs
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -58,7 +58,7 @@
 	l.reports++
 	listed := 0
 	for i := range r.Tasks {
-		if l.reported(m, &r.Tasks[i], now) {
+		if l.reported(m, &r.Tasks[i], now, synced) {
 			listed++
 		}
 	}
@@ -68,6 +68,11 @@
 	if !m.Synced {
 		m.Synced = true
 		l.toSend(m)
+		for _, p := range m.places {
+			if p.seen == l.reports && !p.Stray {
+				l.clearDoubt(p.Job, p.Index)
+			}
+		}
 	}
 	if listed != len(m.places) {
 		for _, p := range m.places {
@@ -103,7 +108,7 @@
 
 // reported takes one line of a report; true means that it lists a placement
 // that no line before did.
-func (l *Ledger) reported(m *Machine, t *wire.TaskReport, now clock.Micros) bool {
+func (l *Ledger) reported(m *Machine, t *wire.TaskReport, now clock.Micros, synced bool) bool {
 	p := m.places[t.Task]
 	if p != nil && p.Attempt == t.Attempt && p.Phase == Present && p.State == t.State && l.Jobs[p.Job.Spec.ID] == p.Job {
 		return l.mark(p) // nothing new, as in most lines of most reports
@@ -120,11 +125,14 @@
 			m.exits = append(m.exits, exit{id: t.Task, attempt: t.Attempt, job: j, index: index})
 			return false
 		}
-		if p.Phase == Present {
+		if p.Phase == Present && t.Attempt < p.Attempt {
 			return l.mark(p) // an older attempt beside a newer one; the worker has one only
 		}
 		// The worker has another attempt than the one on its way, which it will
-		// refuse: what is there counts.
+		// refuse, or than a late copy told of: what is there counts.
+		if j.Tasks[index].Place == p && j.Tasks[index].Doubt {
+			l.displace(p)
+		}
 		l.end(p, WhyVanished, now)
 		p = nil
 	}
@@ -139,7 +147,7 @@
 		return false
 	}
 	if p == nil {
-		p = l.adopt(m, j, index, t, now)
+		p = l.adopt(m, j, index, t, now, synced)
 	}
 	if p.stop {
 		l.toSend(m)
@@ -172,14 +180,27 @@
 
 // adopt books a task that a worker has and the ledger did not expect there:
 // after a take-over, or as a stray that has to go.
-func (l *Ledger) adopt(m *Machine, j *Job, index int, t *wire.TaskReport, now clock.Micros) *Placement {
+//
+// A report from before the token may be a late copy, and the task elsewhere by now. So
+// it ends no doubt about the task, and of two places the one with the later attempt
+// is the true one: attempts only grow, and a new one begins when the last is over.
+func (l *Ledger) adopt(m *Machine, j *Job, index int, t *wire.TaskReport, now clock.Micros, synced bool) *Placement {
 	task := &j.Tasks[index]
 	p := &Placement{Job: j, Index: index, Attempt: t.Attempt, Machine: m, Since: now, id: t.Task}
-	p.Stray = task.Place != nil || task.State == Done
-	l.clearDoubt(j, index)
+	clash := false
+	if j.Gang() {
+		clash = l.supersede(j, t.Attempt)
+		p.Stray = t.Attempt < j.Attempt && !synced
+	} else if old := task.Place; old != nil && task.Doubt && old.Attempt < t.Attempt {
+		l.displace(old)
+	}
+	p.Stray = p.Stray || task.Place != nil || task.State == Done
+	if synced {
+		l.clearDoubt(j, index)
+	}
 	l.put(p)
 	if j.Gang() && !p.Stray {
-		if j.Attempt != 0 && j.Attempt != t.Attempt {
+		if clash || j.Attempt != 0 && j.Attempt != t.Attempt {
 			l.StopJob(j, 0)
 		} else {
 			j.Attempt = t.Attempt
@@ -191,6 +212,38 @@
 	return p
 }
 
+// supersede takes the places of earlier attempts of a gang for what they are, late
+// copies; it tells whether one of them is not.
+func (l *Ledger) supersede(j *Job, attempt uint64) (clash bool) {
+	if j.Attempt == 0 || attempt <= j.Attempt {
+		return false
+	}
+	for i := range j.Tasks {
+		if j.Tasks[i].Place != nil && !j.Tasks[i].Doubt {
+			return true
+		}
+	}
+	for i := range j.Tasks {
+		if p := j.Tasks[i].Place; p != nil {
+			l.displace(p)
+		}
+	}
+	j.Attempt, j.Broken, j.UnderWay = 0, false, false
+	return false
+}
+
+// displace makes a stray of a place that a late copy has told of.
+func (l *Ledger) displace(p *Placement) {
+	t := &p.Job.Tasks[p.Index]
+	t.Place = nil
+	if t.State == Placed {
+		t.State = Waiting
+		p.Job.waiting++
+	}
+	p.Stray = true
+	l.Stop(p, 0)
+}
+
 func (l *Ledger) exited(p *Placement, why string, now clock.Micros) {
 	j, m := p.Job, p.Machine
 	t := &j.Tasks[p.Index]
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -79,7 +79,7 @@
 func (pl *Planner) queue(l *ledger.Ledger, owed map[*ledger.Job]bool, now, wall clock.Micros) []*entry {
 	var q []*entry
 	for _, j := range l.Jobs {
-		if j.Withdrawn || j.WaitingCount() == 0 || j.WaitingCount() == j.Doubts() {
+		if j.Withdrawn || j.WaitingCount() == 0 || j.Active() == 0 && j.WaitingCount() == j.Doubts() {
 			continue
 		}
 		e := &entry{job: j, owed: owed[j], need: 1, run: pl.expect(j)}
