--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -334,7 +334,7 @@
 	}
 	switch e.Why {
 	case wire.WhyDone:
-		if p.RunAt != 0 && p.Since > l.since && !j.Service() && t.Progress == 0 && !(j.Gang() && j.Progress > 0) {
+		if p.RunAt != 0 && !p.Adopted && !j.Service() && t.Progress == 0 && !(j.Gang() && j.Progress > 0) {
 			took := (now - p.RunAt).Seconds()
 			l.pl.Finished(j, took, now)
 			if a := l.jobs[j.Spec.ID]; a != nil {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -218,6 +218,8 @@
 	// RunAt is when it was first seen running: a gang's task waits for the others.
 	RunAt clock.Micros
 
+	// Adopted: an earlier leader started it, so when it began is not known.
+	Adopted bool
 	// Saved: it was stopped, and its progress is safe.
 	Saved bool
 
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -186,7 +186,7 @@
 // is the true one: attempts only grow, and a new one begins when the last is over.
 func (l *Ledger) adopt(m *Machine, j *Job, index int, t *wire.TaskReport, now clock.Micros, synced bool) *Placement {
 	task := &j.Tasks[index]
-	p := &Placement{Job: j, Index: index, Attempt: t.Attempt, Machine: m, Since: now, id: t.Task}
+	p := &Placement{Job: j, Index: index, Attempt: t.Attempt, Machine: m, Since: now, Adopted: true, id: t.Task}
 	clash := false
 	if j.Gang() {
 		clash = l.supersede(j, t.Attempt)
