--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -110,7 +110,7 @@
 // lost is what stopping a task loses, in seconds of its machine: its run since the
 // last checkpoint, and a new start.
 func (r *round) lost(p *ledger.Placement) float64 {
-	run := (r.now - p.Since).Seconds()
+	run := r.pl.ran(p, r.now)
 	if ck := p.Job.Spec.CheckpointS; ck > 0 {
 		run = min(run, ck)
 	}
--- a/internal/planner/gang_test.go
+++ b/internal/planner/gang_test.go
@@ -119,15 +119,18 @@
 		age   clock.Micros
 		rank  string
 		team  ledger.Team
+		found bool // an earlier leader began the work
 		stops int
 	}{
-		{"young work", 3 * clock.Second, wire.PriorityHigh, ledger.Team{}, 2},
-		{"old work", 300 * clock.Second, wire.PriorityHigh, ledger.Team{}, 0},
-		{"work of its rank", 3 * clock.Second, wire.PriorityNormal, ledger.Team{}, 0},
-		{"work that is owed its room", 3 * clock.Second, wire.PriorityHigh, ledger.Team{GPU: 8000}, 0},
+		{"young work", 3 * clock.Second, wire.PriorityHigh, ledger.Team{}, false, 2},
+		{"old work", 300 * clock.Second, wire.PriorityHigh, ledger.Team{}, false, 0},
+		{"work found just now, half of which may be over", 3 * clock.Second, wire.PriorityHigh, ledger.Team{}, true, 0},
+		{"work of its rank", 3 * clock.Second, wire.PriorityNormal, ledger.Team{}, false, 0},
+		{"work that is owed its room", 3 * clock.Second, wire.PriorityHigh, ledger.Team{GPU: 8000}, false, 0},
 	} {
 		s, batch := crowded(t, 2, wire.Job{EstimateS: 1000})
 		s.pl.Teams["a"] = c.team
+		batch.Places(func(p *ledger.Placement) { p.Adopted = c.found })
 		for _, m := range s.l.Machines {
 			m.Images["water"] = s.now
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -242,6 +242,16 @@
 	return pl.Class(j.Spec.Class).Remaining(j.Spec.EstimateS, age)
 }
 
+// ran is for how long, in seconds, a placement has had its place. One that an earlier
+// leader began was found at any time of its run: in the mean half of it is over.
+func (pl *Planner) ran(p *ledger.Placement, now clock.Micros) float64 {
+	run := (now - p.Since).Seconds()
+	if p.Adopted && !p.Job.Service() {
+		run += pl.expect(p.Job) / 2
+	}
+	return run
+}
+
 // expect predicts how long a task of a job runs (46).
 func (pl *Planner) expect(j *ledger.Job) float64 {
 	return pl.Class(j.Spec.Class).Predict(j.Spec.EstimateS)
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -136,7 +136,7 @@
 		k := 0
 		for ; k < len(vs) && !j.Need.Fits(have); k++ {
 			have = have.Add(vs[k].Job.Need)
-			cost += (r.now - vs[k].Since).Seconds() * float64(vs[k].Job.Need.CPU)
+			cost += r.pl.ran(vs[k], r.now) * float64(vs[k].Job.Need.CPU)
 		}
 		return option{m, -cost - fetch}, vs[:k], j.Need.Fits(have)
 	}
