--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -64,6 +64,7 @@
 	// to vouch for nobody in.
 	mayPromise map[string]bool
 	times      vouch.Config
+	learnt     learnt
 	// asked is what other members have said of workers, by way of the state service.
 	asked     map[string]asked
 	nextAsked clock.Micros
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -32,6 +32,7 @@
 	// silent while it stood still itself is not taken for silent.
 	awake  clock.Micros
 	lapsed bool // the entitlement was over at the last tick
+	toldOf int  // the machine that the next beat tells of
 	// hadMost: a good part of the machines was heard in this lead.
 	hadMost bool
 	// deafAt is when a zone was last not mostly heard.
@@ -185,6 +186,7 @@
 	l.heed(now)
 	l.bounds(now)
 	l.lg.Settle()
+	l.goOn(now)
 	c.log.Info("account rebuilt", "token", token, "jobs", len(l.lg.Jobs), "machines", len(l.lg.Machines), "accounted", l.lg.Accounted())
 	return l
 }
--- /dev/null
+++ b/internal/core/learnt_test.go
@@ -0,0 +1,62 @@
+package core
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/peer"
+	"firwood.dev/firwood/wire"
+)
+
+// What a leader tells in its beats, some machines at a time, is what the next one
+// begins with: images of machines that are still in the same session, and run times.
+// Words that make no sense are not believed.
+func TestTheNextLeaderGoesOn(t *testing.T) {
+	var names []string
+	for i := range 2*peer.MaxHoldings + 3 {
+		names = append(names, fmt.Sprintf("i-%02d", i))
+	}
+	first := rebuilt(t, names...)
+	now := first.since
+	for i, n := range names {
+		m := first.lg.Machines[n]
+		first.lg.Report(m, &wire.Report{Machine: n, Session: 3, Seq: 1, Token: 9}, now)
+		m.Images[fmt.Sprintf("img-%02d", i)] = now
+	}
+	first.pl.Class("c").Observe(100, 50, 0.2)
+
+	second := rebuilt(t, names...).c
+	for range 3 {
+		b := &peer.Beat{Member: "b", Leader: "b", Token: 9}
+		first.tell(b)
+		if len(b.Holdings) > peer.MaxHoldings {
+			t.Fatalf("one beat tells of %d machines", len(b.Holdings))
+		}
+		b, err := peer.Decode(peer.Encode(b)[4:])
+		if err != nil {
+			t.Fatal(err)
+		}
+		second.learn(b, now)
+	}
+	second.learn(&peer.Beat{RunTimes: []peer.RunTimes{
+		{Class: "c", Count: 1, Mean: math.Log(0.5), Square: math.Log(0.5) * math.Log(0.5)},
+		{Class: "d", Count: 9, Mean: math.NaN(), Square: 1}, {Class: "e", Count: 9, Mean: 3, Square: 1},
+	}}, now)
+
+	l := newLead(second, 10)
+	for i, n := range names {
+		m := l.lg.Machines[n]
+		session := uint64(3 + i%2) // every second one has lost all it had
+		l.lg.Report(m, &wire.Report{Machine: n, Session: session, Seq: 2, Token: 10}, l.since+clock.Second)
+		if _, holds := m.Images[fmt.Sprintf("img-%02d", i)]; holds != (session == 3) {
+			t.Errorf("%s in session %d: said to hold its image %v", n, session, holds)
+		}
+	}
+	for class, want := range map[string]float64{"c": 50, "d": 100, "e": 100} {
+		if got := l.pl.Class(class).Predict(100); math.Abs(got-want) > 1e-9 {
+			t.Errorf("class %s: predicted to run %.1f s, want %.1f", class, got, want)
+		}
+	}
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -331,6 +331,7 @@
 	}
 	echo := vouch.Stamp{Life: b.EchoLife, At: b.EchoStamp}
 	if b.Leader == b.Member && c.lead == nil {
+		c.learn(b, now)
 		c.voucher.Hear(now, b.Token, echo)
 	}
 	if c.lead != nil && c.voucher.Mine(echo) {
@@ -407,6 +408,9 @@
 			}
 		}
 	}
+	if c.lead != nil {
+		c.lead.tell(b)
+	}
 	s := c.voucher.Stamp(now)
 	b.Life, b.Stamp, b.QuietFor = s.Life, s.At, c.voucher.QuietFor(now)
 	for i, l := range c.links {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -283,6 +283,9 @@
 	// DeafUntil: a direct message got no answer lately, so until then it is not
 	// known that the worker can be told anything, though it may be heard.
 	DeafUntil clock.Micros
+	// said are images that it is said to hold in a session, see Says.
+	said   []string
+	saidIn uint64
 	// HeldUntil: tasks fail there for a cause that is not its own, so until then it
 	// gets nothing new.
 	HeldUntil clock.Micros
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -38,6 +38,7 @@
 	}
 	if r.Session > m.Session {
 		l.newSession(m, now)
+		m.trust(r.Session, now)
 	}
 	m.Session, m.Seq, m.Heard = r.Session, r.Seq, now
 	if m.UpAt == 0 {
@@ -85,6 +86,26 @@
 	return Taken
 }
 
+// Says takes an earlier leader's word of the images that a machine holds in a session.
+// It is believed once the machine reports in that session.
+func (m *Machine) Says(session uint64, images []string, now clock.Micros) {
+	m.said, m.saidIn = images, session
+	if m.Session == session {
+		m.trust(session, now)
+	}
+}
+
+func (m *Machine) trust(session uint64, now clock.Micros) {
+	if m.saidIn == session {
+		for _, i := range m.said {
+			if _, ok := m.Images[i]; !ok {
+				m.Images[i] = now
+			}
+		}
+	}
+	m.said = nil
+}
+
 // newSession: the worker's lease ran out and everything it had is gone, and
 // commands for the session before are refused from now on.
 //
--- a/internal/peer/fb/Beat.go
+++ b/internal/peer/fb/Beat.go
@@ -165,8 +165,48 @@
 	return rcv._tab.MutateInt64Slot(24, n)
 }
 
+func (rcv *Beat) Holdings(obj *Holding, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Beat) HoldingsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Beat) RunTimes(obj *RunTimes, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Beat) RunTimesLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func BeatStart(builder *flatbuffers.Builder) {
-	builder.StartObject(11)
+	builder.StartObject(13)
 }
 func BeatAddMember(builder *flatbuffers.Builder, member flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(member), 0)
@@ -204,6 +244,18 @@
 func BeatAddQuietFor(builder *flatbuffers.Builder, quietFor int64) {
 	builder.PrependInt64Slot(10, quietFor, 0)
 }
+func BeatAddHoldings(builder *flatbuffers.Builder, holdings flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(11, flatbuffers.UOffsetT(holdings), 0)
+}
+func BeatStartHoldingsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func BeatAddRunTimes(builder *flatbuffers.Builder, runTimes flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(12, flatbuffers.UOffsetT(runTimes), 0)
+}
+func BeatStartRunTimesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func BeatEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -23,8 +23,13 @@
 // MaxFrame bounds a frame.
 const MaxFrame = 1 << 18
 
-// maxCounts bounds the jobs of one beat, so that it stays under MaxFrame.
-const maxCounts = 2000
+// Bounds of what one beat tells, so that it stays under MaxFrame.
+const (
+	maxCounts   = 2000
+	MaxHoldings = 16
+	MaxImages   = 64 // of one machine
+	MaxRunTimes = 64
+)
 
 // Count is a job's progress, for display.
 type Count struct {
@@ -32,6 +37,20 @@
 	Done, Running uint32
 }
 
+// Holding is what images a machine holds in one of its sessions.
+type Holding struct {
+	Machine string
+	Session uint64
+	Images  []string
+}
+
+// RunTimes is what is learnt of a class.
+type RunTimes struct {
+	Class        string
+	Count        uint32
+	Mean, Square float64
+}
+
 // Beat is one message.
 type Beat struct {
 	Member  string
@@ -48,6 +67,10 @@
 	EchoLife  uint64
 	EchoStamp clock.Micros
 	QuietFor  clock.Micros
+
+	// Holdings and RunTimes are what the next leader would have to learn anew.
+	Holdings []Holding
+	RunTimes []RunTimes
 }
 
 // Encode makes the frame of a beat.
@@ -66,11 +89,8 @@
 		fb.CountAddRunning(fbb, counts[i].Running)
 		offs[i] = fb.CountEnd(fbb)
 	}
-	fb.BeatStartCountsVector(fbb, len(offs))
-	for i := len(offs) - 1; i >= 0; i-- {
-		fbb.PrependUOffsetT(offs[i])
-	}
-	vec := fbb.EndVector(len(offs))
+	vec := vector(fbb, offs)
+	holdings, runs := encodeHoldings(fbb, b.Holdings), encodeRunTimes(fbb, b.RunTimes)
 	member, leader := fbb.CreateString(b.Member), fbb.CreateString(b.Leader)
 	fb.BeatStart(fbb)
 	fb.BeatAddMember(fbb, member)
@@ -84,10 +104,52 @@
 	fb.BeatAddEchoLife(fbb, b.EchoLife)
 	fb.BeatAddEchoStamp(fbb, int64(b.EchoStamp))
 	fb.BeatAddQuietFor(fbb, int64(b.QuietFor))
+	fb.BeatAddHoldings(fbb, holdings)
+	fb.BeatAddRunTimes(fbb, runs)
 	fbb.FinishSizePrefixed(fb.BeatEnd(fbb))
 	return fbb.FinishedBytes()
 }
 
+// vector writes offsets; all vectors of them are alike.
+func vector(fbb *flatbuffers.Builder, offs []flatbuffers.UOffsetT) flatbuffers.UOffsetT {
+	fbb.StartVector(flatbuffers.SizeUOffsetT, len(offs), flatbuffers.SizeUOffsetT)
+	for i := len(offs) - 1; i >= 0; i-- {
+		fbb.PrependUOffsetT(offs[i])
+	}
+	return fbb.EndVector(len(offs))
+}
+
+func encodeHoldings(fbb *flatbuffers.Builder, hs []Holding) flatbuffers.UOffsetT {
+	var offs []flatbuffers.UOffsetT
+	for _, h := range hs[:min(len(hs), MaxHoldings)] {
+		var images []flatbuffers.UOffsetT
+		for _, i := range h.Images[:min(len(h.Images), MaxImages)] {
+			images = append(images, fbb.CreateString(i))
+		}
+		vec, machine := vector(fbb, images), fbb.CreateString(h.Machine)
+		fb.HoldingStart(fbb)
+		fb.HoldingAddMachine(fbb, machine)
+		fb.HoldingAddSession(fbb, h.Session)
+		fb.HoldingAddImages(fbb, vec)
+		offs = append(offs, fb.HoldingEnd(fbb))
+	}
+	return vector(fbb, offs)
+}
+
+func encodeRunTimes(fbb *flatbuffers.Builder, rs []RunTimes) flatbuffers.UOffsetT {
+	var offs []flatbuffers.UOffsetT
+	for _, r := range rs[:min(len(rs), MaxRunTimes)] {
+		class := fbb.CreateString(r.Class)
+		fb.RunTimesStart(fbb)
+		fb.RunTimesAddClass(fbb, class)
+		fb.RunTimesAddCount(fbb, r.Count)
+		fb.RunTimesAddMean(fbb, r.Mean)
+		fb.RunTimesAddSquare(fbb, r.Square)
+		offs = append(offs, fb.RunTimesEnd(fbb))
+	}
+	return vector(fbb, offs)
+}
+
 var errMalformed = errors.New("peer: malformed beat")
 
 // Decode reads one frame's content, without its size. FlatBuffers for Go has
@@ -120,6 +182,27 @@
 		}
 		b.Counts = append(b.Counts, Count{Job: string(c.Job()), Done: c.Done(), Running: c.Running()})
 	}
+	if r.HoldingsLength() > MaxHoldings || r.RunTimesLength() > MaxRunTimes {
+		return nil, errMalformed
+	}
+	var h fb.Holding
+	for i := range r.HoldingsLength() {
+		if !r.Holdings(&h, i) || h.ImagesLength() > MaxImages {
+			return nil, errMalformed
+		}
+		v := Holding{Machine: string(h.Machine()), Session: h.Session()}
+		for k := range h.ImagesLength() {
+			v.Images = append(v.Images, string(h.Images(k)))
+		}
+		b.Holdings = append(b.Holdings, v)
+	}
+	var t fb.RunTimes
+	for i := range r.RunTimesLength() {
+		if !r.RunTimes(&t, i) {
+			return nil, errMalformed
+		}
+		b.RunTimes = append(b.RunTimes, RunTimes{Class: string(t.Class()), Count: t.Count(), Mean: t.Mean(), Square: t.Square()})
+	}
 	return b, nil
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -21,6 +21,19 @@
 		for i := rapid.IntRange(0, 5).Draw(t, "counts"); i > 0; i-- {
 			b.Counts = append(b.Counts, Count{Job: rapid.String().Draw(t, "job"), Done: rapid.Uint32().Draw(t, "done"), Running: rapid.Uint32().Draw(t, "running")})
 		}
+		for i := rapid.IntRange(0, 3).Draw(t, "holdings"); i > 0; i-- {
+			h := Holding{Machine: rapid.StringMatching(`i-[0-9]{1,6}`).Draw(t, "machine"), Session: rapid.Uint64().Draw(t, "session")}
+			for k := rapid.IntRange(0, 4).Draw(t, "images"); k > 0; k-- {
+				h.Images = append(h.Images, rapid.String().Draw(t, "image"))
+			}
+			b.Holdings = append(b.Holdings, h)
+		}
+		for i := rapid.IntRange(0, 3).Draw(t, "runs"); i > 0; i-- {
+			b.RunTimes = append(b.RunTimes, RunTimes{
+				Class: rapid.String().Draw(t, "class"), Count: rapid.Uint32().Draw(t, "count"),
+				Mean: rapid.Float64Range(-9, 9).Draw(t, "mean"), Square: rapid.Float64Range(0, 81).Draw(t, "square"),
+			})
+		}
 		return b
 	})
 }
--- a/internal/planner/model.go
+++ b/internal/planner/model.go
@@ -134,6 +134,17 @@
 	m, q float64
 }
 
+// State is what has been learnt, for another to go on with.
+func (r *RunTimes) State() (n int, mean, square float64) { return r.n, r.m, r.q }
+
+// GoOn takes what another has learnt, unless something is known already. A mean square
+// below the square of the mean cannot be.
+func (r *RunTimes) GoOn(n int, mean, square float64) {
+	if r.n == 0 && n > 0 && !math.IsNaN(mean) && math.Abs(mean) < 20 && square >= mean*mean*(1-1e-9) && square < 1000 {
+		r.n, r.m, r.q = n, mean, square
+	}
+}
+
 const sigmaMin = 0.25
 
 // Observe takes the run time of a completed task.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -77,6 +78,9 @@
 	return r
 }
 
+// Classes lists the classes of which run times are known.
+func (pl *Planner) Classes() []string { return slices.Sorted(maps.Keys(pl.runs)) }
+
 func (pl *Planner) demand(j *ledger.Job) *Demand {
 	if j.Spec.Spot {
 		return &pl.spot
