--- a/internal/ledger/copy_test.go
+++ b/internal/ledger/copy_test.go
@@ -39,8 +39,8 @@
 	l, ms, j := successor(wire.KindArray)
 	now := clock.Second
 	l.Report(ms[0], listing("i-0", 5, 4, 40, 0), now) // a copy; the task is on i-1 by now
-	if j.Active() != 1 || j.Doubts() != 2 {
-		t.Fatalf("%d placed, %d in doubt", j.Active(), j.Doubts())
+	if u := l.TeamUse(""); j.Active() != 1 || j.Doubts() != 2 || u.CPU != 2000 {
+		t.Fatalf("%d placed, %d in doubt, the team may use %d", j.Active(), j.Doubts(), u.CPU)
 	}
 	l.Report(ms[0], listing("i-0", 9, 9, 0), now) // i-0 itself, under the new token
 	l.Report(ms[2], listing("i-2", 9, 9, 0), now)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -465,10 +465,7 @@
 			j.doubts++
 		}
 	}
-	if j.doubts > 0 {
-		u := l.teamUse(l.doubt, spec.Team)
-		*u = u.Add(j.Need.Times(j.doubts))
-	}
+	l.doubtUse(j, j.doubts)
 	return j
 }
 
@@ -548,8 +545,16 @@
 	}
 	t.Doubt = false
 	j.doubts--
+	if t.Place == nil {
+		l.doubtUse(j, -1)
+	}
+}
+
+// doubtUse adds tasks to what a team may use beside its placements. A task that is in
+// doubt and has a place all the same takes its share once, wherever it is.
+func (l *Ledger) doubtUse(j *Job, tasks int) {
 	u := l.teamUse(l.doubt, j.Spec.Team)
-	*u = u.Sub(j.Need)
+	*u = u.Add(j.Need.Times(tasks))
 }
 
 // Errors of Place.
@@ -649,6 +654,9 @@
 	l.toSend(m)
 	if !p.Stray {
 		t := &j.Tasks[p.Index]
+		if t.Doubt && t.Place == nil {
+			l.doubtUse(j, -1)
+		}
 		t.Place = p
 		if t.State == Waiting {
 			t.State = Placed
@@ -702,11 +710,7 @@
 		j.Progress = max(j.Progress, t.Progress)
 	}
 	if t.Place == p {
-		t.Place = nil
-		if t.State == Placed {
-			t.State = Waiting
-			j.waiting++
-		}
+		l.unplace(j, t)
 		if why == wire.WhyDone {
 			l.complete(j, p.Index)
 		} else if j.Gang() && t.State != Done && (j.UnderWay || why == wire.WhyPeers || why == wire.WhyError) {
@@ -719,6 +723,18 @@
 	l.Ended = append(l.Ended, Ending{p, why})
 }
 
+// unplace takes a task's place from it.
+func (l *Ledger) unplace(j *Job, t *Task) {
+	t.Place = nil
+	if t.Doubt {
+		l.doubtUse(j, 1)
+	}
+	if t.State == Placed {
+		t.State = Waiting
+		j.waiting++
+	}
+}
+
 // breakGang ends an attempt of which a task is gone.
 func (l *Ledger) breakGang(j *Job) {
 	if j.Broken || j.active == 0 {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -627,12 +627,16 @@
 					w.fatal("books of %s: %v, placements %v", m.Name, m.Used(), sum)
 				}
 			}
+			may := map[string]int64{} // what teams may use, in doubt and without a place
 			for id, j := range w.lg.Jobs {
 				waiting, doubts := 0, 0
 				for i := range j.Tasks {
 					if j.Tasks[i].State == Waiting {
 						waiting++
 					}
+					if j.Tasks[i].Doubt && j.Tasks[i].Place == nil {
+						may[j.Spec.Team] += j.Need.CPU
+					}
 					if j.Tasks[i].Doubt {
 						doubts++
 					}
@@ -641,6 +645,11 @@
 					w.fatal("books of %s: %d waiting of %d, %d in doubt of %d", id, j.WaitingCount(), waiting, j.Doubts(), doubts)
 				}
 			}
+			for team, u := range w.lg.doubt {
+				if u.CPU != may[team] {
+					w.fatal("books of team %s: %d in doubt of %d", team, u.CPU, may[team])
+				}
+			}
 		}
 		total += w.starts
 		gangs += w.gangs
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -255,12 +255,7 @@
 
 // displace makes a stray of a place that a late copy has told of.
 func (l *Ledger) displace(p *Placement) {
-	t := &p.Job.Tasks[p.Index]
-	t.Place = nil
-	if t.State == Placed {
-		t.State = Waiting
-		p.Job.waiting++
-	}
+	l.unplace(p.Job, &p.Job.Tasks[p.Index])
 	p.Stray = true
 	l.Stop(p, 0)
 }
