Withdrawals reach a leader that the state service refuses; reads before starts

A leader whose entitlement came back after an outage started tasks again on the view from before it. Package staleness bounds what a leader may do on an old view: answers that renew leases, and starts; after a lapse it reads first. Members tell each other durable withdrawals until the other's view is as new. The time of a withdrawal's tasks runs from its confirmation, not from when the leader learnt of it.

--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -37,7 +37,7 @@
 					c.view.done[id] = map[int]bitmap{0: nil}
 				}
 				b.StartTimer()
-				l = newLead(c, 10)
+				l = newLead(c, 10, clock.Now())
 				l.deadline.Store(1 << 62)
 				for _, r := range reports {
 					l.checkin(r, &server.Reply{})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"firwood.dev/firwood/internal/peer"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/internal/sockets"
+	"firwood.dev/firwood/internal/staleness"
 	"firwood.dev/firwood/internal/state"
 	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
@@ -64,7 +65,11 @@
 	// to vouch for nobody in.
 	mayPromise map[string]bool
 	times      vouch.Config
-	learnt     learnt
+	// staleness bounds what a leader may do on an old view.
+	staleness staleness.Bounds
+	// withdrawals are recent ones that other members may have to be told of.
+	withdrawals withdrawalLog
+	learnt      learnt
 	// asked is what other members have said of workers, by way of the state service.
 	asked     map[string]asked
 	nextAsked clock.Micros
@@ -117,6 +122,8 @@
 	}
 	trip := clock.FromSeconds(1.25*w.ReportS) + clock.Second/2 + clock.Micros(len(cfg.Others))*try
 	c.times = vouch.Times(clock.FromSeconds(w.CancelS), clock.FromSeconds(w.LeaseS), 3*beatEvery, trip)
+	c.staleness = staleness.ForWorkers(clock.FromSeconds(w.CancelS), clock.FromSeconds(w.LeaseS), ttl)
+	c.withdrawals = newWithdrawalLog(clock.FromSeconds(w.CancelS))
 	c.voucher = vouch.NewVoucher(c.times, uint64(clock.Wall()), clock.Now())
 	for _, t := range d.Teams {
 		g := ledger.FromAmounts(t.CPUs, t.GPUs, 0)
@@ -186,6 +193,7 @@
 			c.lead.tick(now)
 		}
 	}
+	c.tellWithdrawals(now)
 	c.beat(now)
 }
 
@@ -293,6 +301,7 @@
 // takeOver rebuilds the account from a view that is as new as the token.
 func (c *Core) takeOver() {
 	token := c.el.Token()
+	asked := clock.Now()
 	c.view.wantSync(func(err error) {
 		switch {
 		case c.el.Token() != token:
@@ -312,7 +321,7 @@
 			})
 		default:
 			c.rebuilding = false
-			c.lead = newLead(c, token)
+			c.lead = newLead(c, token, asked)
 			c.nextBeat = 0
 		}
 	}, clock.Now()+2*clock.Second)
--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -37,10 +37,13 @@
 		if a.host == nil {
 			a.host = l.c.toWorkers.Host(m.Addr, 1, 4*wire.MaxBody)
 		}
-		host := a.host
+		host, until := a.host, l.until
+		if len(starts) > 0 {
+			until = l.startUntil
+		}
 		l.directing++
 		go func() {
-			res, err := host.Do(client.Request{Method: "POST", Target: "/commands", Body: body, Timeout: directTimeout, Until: l.until})
+			res, err := host.Do(client.Request{Method: "POST", Target: "/commands", Body: body, Timeout: directTimeout, Until: until})
 			result := ledger.Lost
 			var rep *wire.Report
 			var se *client.SendError
--- a/internal/core/faulty_test.go
+++ b/internal/core/faulty_test.go
@@ -21,7 +21,7 @@
 		ID: "req-000001", Class: "c", Kind: wire.KindService, Team: "t", Tasks: 1, CPUs: 1,
 	}}
 	l.c.view.done["req-000001"] = map[int]bitmap{0: nil}
-	l = newLead(l.c, 10)
+	l = newLead(l.c, 10, clock.Now())
 	now := l.since
 	for i, n := range names {
 		r := &wire.Report{Machine: n, Session: 1, Seq: 1, Token: 10}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -97,7 +97,11 @@
 	stamps := maps.Clone(l.c.stamps)
 	l.c.view.wantSync(func(err error) {
 		defer then()
-		if err != nil || l.closed || !l.c.entitled() {
+		if err != nil || l.closed {
+			return
+		}
+		l.hasRead(now)
+		if !l.c.entitled() {
 			return
 		}
 		for _, j := range l.lg.Jobs {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -12,6 +12,7 @@
 	"firwood.dev/firwood/internal/ledger"
 	"firwood.dev/firwood/internal/planner"
 	"firwood.dev/firwood/internal/server"
+	"firwood.dev/firwood/internal/staleness"
 	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
@@ -25,9 +26,14 @@
 	lg     *ledger.Ledger
 	pl     *planner.Planner
 	closed bool
-	// deadline is the end of the entitlement, 0 once closed.
-	deadline atomic.Int64
-	since    clock.Micros
+	// deadline is the end of the entitlement, 0 once closed; startDeadline is the
+	// end of the time in which tasks may be started, no later than that.
+	deadline, startDeadline atomic.Int64
+	// view tells what the age of the view allows; reading: a read that makes it
+	// new again is under way.
+	view    *staleness.Tracker
+	reading bool
+	since   clock.Micros
 	// awake is since when this process has been able to hear anybody: what was
 	// silent while it stood still itself is not taken for silent.
 	awake  clock.Micros
@@ -108,7 +114,8 @@
 	first    int64
 }
 
-func newLead(c *Core, token uint64) *lead {
+// newLead rebuilds the account from a view that rests on a read sent at readAt.
+func newLead(c *Core, token uint64, readAt clock.Micros) *lead {
 	now := clock.Now()
 	d := &c.cfg.Deployment
 	l := &lead{
@@ -116,6 +123,7 @@
 		hires: map[string]*hire{}, machines: map[string]*machineAux{}, jobs: map[string]*jobAux{},
 		deafAt: map[string]clock.Micros{},
 		gone:   map[string]clock.Micros{}, unknown: map[string]clock.Micros{},
+		view: staleness.NewTracker(c.staleness, readAt),
 	}
 	l.lg = ledger.New(ledger.Config{
 		Token: token, Lease: clock.FromSeconds(d.Workers.LeaseS), Teams: c.teams,
@@ -177,9 +185,7 @@
 		} else if rec.Job != nil {
 			// Withdrawn, but its tasks are not known to be gone.
 			j := l.addJob(id, rec, len(done) > 0)
-			l.lg.Withdraw(j, now)
-			j.WithdrawnAt = now - max(wall-clock.Micros(rec.End), 0)
-			l.jobs[id].over = true
+			l.withdraw(j, rec, now)
 		}
 	}
 	l.relearn(now, wall)
@@ -236,13 +242,21 @@
 	case !rec.over() && j == nil && l.jobs[id] == nil:
 		l.pl.Arrived(l.addJob(id, rec, false), now)
 	case rec.State == wire.JobAborted && j != nil:
-		l.lg.Withdraw(j, now)
-		l.jobs[id].over = true
+		l.withdraw(j, rec, now)
 	case rec.over() && l.jobs[id] != nil:
 		l.jobs[id].over = true
 	}
 }
 
+// withdraw takes a durable withdrawal. The time that its tasks have runs from the
+// confirmation, of which a leader that was refused by the state service may have
+// learnt late.
+func (l *lead) withdraw(j *ledger.Job, rec *jobRecord, now clock.Micros) {
+	l.lg.Withdraw(j, now)
+	j.WithdrawnAt = now - max(clock.Wall()-clock.Micros(rec.End), 0)
+	l.jobs[j.Spec.ID].over = true
+}
+
 // until is the end of the entitlement to act. Unlike the rest it may be asked
 // on any goroutine, right before something is sent.
 func (l *lead) until() clock.Micros { return clock.Micros(l.deadline.Load()) }
@@ -250,12 +264,49 @@
 // woke takes the news that the process has stood still, or was not entitled to act.
 func (l *lead) woke(now clock.Micros) { l.awake, l.pl.Awake = now, now }
 
-// renew takes over the election's view of the entitlement.
-func (l *lead) renew() { l.deadline.Store(int64(l.c.el.Until())) }
+// startUntil is the end of the time in which tasks may be started; like until it
+// may be asked on any goroutine.
+func (l *lead) startUntil() clock.Micros { return clock.Micros(l.startDeadline.Load()) }
+
+// renew takes over the election's view of the entitlement, and what the age of the
+// view allows.
+func (l *lead) renew() {
+	until := l.c.el.Until()
+	l.deadline.Store(int64(until))
+	l.startDeadline.Store(int64(min(until, l.view.StartUntil())))
+}
+
+// read makes the view new again where it is too old to start tasks on it.
+func (l *lead) read(now clock.Micros) {
+	if l.reading {
+		return
+	}
+	l.reading = true
+	l.c.view.wantSync(func(err error) {
+		l.reading = false
+		switch {
+		case l.closed:
+		case err != nil:
+			l.opened() // those that have waited for too long are refused
+		default:
+			l.hasRead(now)
+		}
+	}, now+beatEvery)
+}
+
+// hasRead takes the news that the view is as new as a read sent at an instant.
+func (l *lead) hasRead(sentAt clock.Micros) {
+	l.view.Read(sentAt)
+	l.renew()
+	l.lg.HoldStarts(!l.view.MayStart(clock.Now()))
+	l.dirty = true
+	l.opened()
+}
 
 func (l *lead) close() {
 	l.closed = true
 	l.deadline.Store(0)
+	l.startDeadline.Store(0)
 	l.c.mayPromise = l.keeper.Zones()
 	for _, h := range l.held {
 		later(h.r, "the lead is over")
@@ -304,7 +355,17 @@
 		later(r, "cannot be encoded")
 		return
 	}
-	r.SendUntil(200, body, 0, l.until())
+	r.SendUntil(200, body, 0, l.answerUntil(reply.Commands))
+}
+
+// answerUntil is the last instant at which an answer to a report may go out: it
+// renews the worker's lease, and may start tasks.
+func (l *lead) answerUntil(commands []wire.Command) clock.Micros {
+	until := min(l.until(), l.view.RenewUntil())
+	if slices.ContainsFunc(commands, func(c wire.Command) bool { return c.Op == wire.OpStart }) {
+		until = min(until, l.startUntil())
+	}
+	return until
 }
 
 // settle draws the conclusions from what reports showed.
@@ -386,6 +447,15 @@
 		// an outage of 75 s a leader once handed over for hearing nobody.
 		l.lapsed = false
 		l.woke(now)
+		// Withdrawals may have been confirmed before an outage that a leader which
+		// was refused alone never heard of: once it started their tasks again.
+		l.view.Regained(now)
+		l.renew()
+	}
+	fresh := l.view.MayStart(now)
+	l.lg.HoldStarts(!fresh)
+	if !fresh {
+		l.read(now)
 	}
 	if now >= l.slowAt {
 		l.slowAt = now + 500*clock.Millisecond
@@ -400,7 +470,7 @@
 		l.logFleet(now)
 		l.dirty = true
 	}
-	if l.dirty && now >= l.planAt {
+	if l.dirty && fresh && now >= l.planAt {
 		l.dirty = false
 		l.plan(now)
 		l.durable(now)
--- a/internal/core/lead_test.go
+++ b/internal/core/lead_test.go
@@ -53,7 +53,7 @@
 	c := New(cfg, config.DefaultTuning(), slog.New(slog.DiscardHandler))
 	c.types = []wire.MachineType{{Name: "big", CPUs: 16, MemoryGB: 64, Price: 1, BootS: 15, Zones: d.Zones}}
 	c.view.hires["h"] = &hireRecord{Type: "big", Zone: "x", Count: len(machines), At: int64(clock.Wall() - 300*clock.Second), Resolved: true, Machines: machines}
-	return newLead(c, 9)
+	return newLead(c, 9, clock.Now())
 }
 
 // A new leader has heard none of the machines that an earlier one rented. That
--- a/internal/core/learn_test.go
+++ b/internal/core/learn_test.go
@@ -18,7 +18,7 @@
 		ID: "req-000001", Class: "c", Kind: wire.KindArray, Priority: wire.PriorityNormal, Team: "t", Tasks: 2, CPUs: 1, EstimateS: 100,
 	}}
 	l.c.view.done["req-000001"] = map[int]bitmap{0: nil}
-	l = newLead(l.c, 10)
+	l = newLead(l.c, 10, clock.Now())
 	j, m := l.lg.Jobs["req-000001"], l.lg.Machines["i-1"]
 	now := l.since + clock.Second
 	seq := uint64(0)
--- a/internal/core/learnt_test.go
+++ b/internal/core/learnt_test.go
@@ -45,7 +45,7 @@
 		{Class: "d", Count: 9, Mean: math.NaN(), Square: 1}, {Class: "e", Count: 9, Mean: 3, Square: 1},
 	}}, now)
 
-	l := newLead(second, 10)
+	l := newLead(second, 10, clock.Now())
 	for i, n := range names {
 		m := l.lg.Machines[n]
 		session := uint64(3 + i%2) // every second one has lost all it had
--- a/internal/core/outage_test.go
+++ b/internal/core/outage_test.go
@@ -36,7 +36,7 @@
 		t.Fatalf("a right lasts %d us", c.times.For)
 	}
 	c.view.loaded = true
-	l := newLead(c, 9)
+	l := newLead(c, 9, clock.Now())
 	c.lead = l // its lock is not held any more: nothing was ever renewed
 	if c.entitled() {
 		t.Fatal("entitled without a lock")
--- a/internal/core/repeat_test.go
+++ b/internal/core/repeat_test.go
@@ -42,7 +42,7 @@
 	}})
 	work(t, c, func() bool { return token != 0 })
 	c.view.hires, c.view.loaded, c.view.rev = map[string]*hireRecord{}, true, token
-	l = newLead(c, token)
+	l = newLead(c, token, clock.Now())
 	l.deadline.Store(1 << 62)
 	c.lead = l
 	l.rent(planner.Rent{Pool: planner.Pool{Type: "big", Zone: "x"}, Count: 2}, clock.Now())
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -23,7 +23,7 @@
 		c.view.done[id] = map[int]bitmap{0: nil}
 	}
 	c.cfg.Deployment.Objectives = append(c.cfg.Deployment.Objectives, config.Objective{Kind: "wait", Class: "c", WithinS: 2})
-	l = newLead(c, 10)
+	l = newLead(c, 10, clock.Now())
 	m := l.lg.Machines["i-1"] // heard, and empty; the other one is not heard
 	l.lg.HeardBy(m, l.since)
 	l.lg.Report(m, &wire.Report{Machine: "i-1", Session: 1, Seq: 1, Token: 10}, l.since)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -164,10 +164,7 @@
 	if o == state.Committed && c.view.jobs[id] == nil {
 		// The watch will bring it; a leader need not wait for that.
 		rec.version = rev
-		c.view.jobs[id] = rec
-		if c.lead != nil {
-			c.lead.jobChanged(id, rec)
-		}
+		c.setJob(id, rec)
 	}
 }
 
@@ -270,10 +267,7 @@
 			case state.Committed:
 				over.version = rev
 				if cur := c.view.jobs[id]; cur == nil || cur.version < rev {
-					c.view.jobs[id] = over
-					if c.lead != nil {
-						c.lead.jobChanged(id, over)
-					}
+					c.setJob(id, over)
 				}
 				r.Send(200, statusBody(id, wire.JobAborted, nil, nil), 0)
 			case state.Conflict:
@@ -326,6 +320,7 @@
 	}
 	now := clock.Now()
 	c.beats[b.Member] = &beatSeen{beat: b, at: now}
+	c.toldWithdrawals(b.Withdrawals)
 	if s := c.stamps[b.Member]; b.Life > s.Life || b.Life == s.Life && b.Stamp > s.At {
 		c.stamps[b.Member] = vouch.Stamp{Life: b.Life, At: b.Stamp}
 	}
@@ -413,12 +408,14 @@
 	}
 	s := c.voucher.Stamp(now)
 	b.Life, b.Stamp, b.QuietFor = s.Life, s.At, c.voucher.QuietFor(now)
+	b.Revision = c.view.rev
 	for i, l := range c.links {
 		echo := c.stamps[c.cfg.Others[i].Member]
 		if c.lead != nil {
 			echo = c.lead.echoes[c.cfg.Others[i].Member]
 		}
 		b.EchoLife, b.EchoStamp = echo.Life, echo.At
+		b.Withdrawals = c.withdrawals.unknownTo(c.revisionOf(c.cfg.Others[i].Member), now)
 		l.Send(peer.Encode(b))
 	}
 }
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -262,13 +262,7 @@
 		if old != nil && old.version >= version {
 			return
 		}
-		v.jobs[id] = r
-		if r.over() {
-			delete(c.counts, id)
-		}
-		if c.lead != nil {
-			c.lead.jobChanged(id, r)
-		}
+		c.setJob(id, r)
 	case strings.HasPrefix(key, prefixDone):
 		id, chunk, ok := parseDoneKey(key)
 		var r doneRecord
@@ -296,6 +290,18 @@
 	}
 }
 
+// setJob takes a newer record of a job into the view.
+func (c *Core) setJob(id string, r *jobRecord) {
+	c.view.jobs[id] = r
+	if r.over() {
+		delete(c.counts, id)
+	}
+	c.withdrawals.add(id, r, clock.Now(), clock.Wall())
+	if c.lead != nil {
+		c.lead.jobChanged(id, r)
+	}
+}
+
 func (c *Core) drop(key string) {
 	v := &c.view
 	switch {
--- a/internal/core/word.go
+++ b/internal/core/word.go
@@ -170,6 +170,12 @@
 // mustWait tells whether a report has to wait until the word about its zone is
 // taken back, and takes care of that.
 func (l *lead) mustWait(rep *wire.Report, r *server.Reply, now clock.Micros) bool {
+	if !l.view.MayRenew(now) {
+		// No answer may renew its lease before the next read, which is under way.
+		l.held = append(l.held, waiting{rep, r, now})
+		l.read(now)
+		return true
+	}
 	if !l.keeper.Zone(rep.Zone) {
 		return false
 	}
@@ -193,7 +199,7 @@
 	l.held = nil
 	for _, h := range held {
 		switch {
-		case !l.keeper.Zone(h.rep.Zone):
+		case !l.keeper.Zone(h.rep.Zone) && l.view.MayRenew(now):
 			l.checkin(h.rep, h.r)
 		case now-h.at > clock.Second:
 			later(h.r, "the state service does not answer")
--- a/internal/core/word_test.go
+++ b/internal/core/word_test.go
@@ -23,7 +23,7 @@
 		Members: map[string]clock.Micros{"b": clock.Wall() - ago},
 	}
 	c.view.wordVersion = 8
-	l = newLead(c, 10)
+	l = newLead(c, 10, clock.Now())
 	l.deadline.Store(1 << 62)
 	m := l.lg.Machines["i-1"]
 	if early := plain - l.lg.LeaseEnd(m); early < ago {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -378,6 +378,7 @@
 	// token is what messages carry, issued the highest that may be seen: it is told
 	// to those who vouch before it is used. Both begin as the lock's.
 	token, issued uint64
+	startsHeld    bool // see HoldStarts
 	heldBack      bool // an attempt was not forgotten for want of a higher token
 	open          int  // machines not accounted for
 	settled       bool
--- a/internal/ledger/orders.go
+++ b/internal/ledger/orders.go
@@ -69,6 +69,10 @@
 	return out
 }
 
+// HoldStarts has no start put into any message, or ends that: while the leader may
+// not know of withdrawals, what is placed waits. Stops go out all the same.
+func (l *Ledger) HoldStarts(hold bool) { l.startsHeld = hold }
+
 // startable is invariant 6, for a placement already on the books.
 func (l *Ledger) startable(p *Placement) bool {
 	j, m := p.Job, p.Machine
@@ -107,13 +111,14 @@
 		// stop in one message, its attempt is listed as exited, and the late
 		// one has no effect. Too long after a withdrawal even that could count
 		// as a start: then only the machine's end helps.
-		if p.Job.Withdrawn && now-p.Job.WithdrawnAt > l.cfg.MayFence {
+		if l.startsHeld || p.Job.Withdrawn && now-p.Job.WithdrawnAt > l.cfg.MayFence {
 			return out
 		}
 		zero := 0.0
 		stop.GraceS = &zero
 		out = append(out, start, stop)
 	case p.stop:
+	case l.startsHeld:
 	case p.Phase == Assigned && !l.startable(p):
 		l.end(p, wire.WhyStopped, now)
 	case p.Phase == Assigned, p.Phase == Sent && !direct && (p.directOut > 0 || p.late):
--- a/internal/peer/fb/Beat.go
+++ b/internal/peer/fb/Beat.go
@@ -205,8 +205,40 @@
 	return 0
 }
 
+func (rcv *Beat) Revision() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Beat) MutateRevision(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(30, n)
+}
+
+func (rcv *Beat) Withdrawals(obj *Withdrawal, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(32))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Beat) WithdrawalsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(32))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func BeatStart(builder *flatbuffers.Builder) {
-	builder.StartObject(13)
+	builder.StartObject(15)
 }
 func BeatAddMember(builder *flatbuffers.Builder, member flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(member), 0)
@@ -256,6 +288,15 @@
 func BeatStartRunTimesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func BeatAddRevision(builder *flatbuffers.Builder, revision uint64) {
+	builder.PrependUint64Slot(13, revision, 0)
+}
+func BeatAddWithdrawals(builder *flatbuffers.Builder, withdrawals flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(14, flatbuffers.UOffsetT(withdrawals), 0)
+}
+func BeatStartWithdrawalsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func BeatEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,6 +29,8 @@
 	MaxHoldings = 16
 	MaxImages   = 64 // of one machine
 	MaxRunTimes = 64
+	// MaxWithdrawals bounds the withdrawals that one message tells.
+	MaxWithdrawals = 512
 )
 
 // Count is a job's progress, for display.
@@ -51,6 +53,15 @@
 	Mean, Square float64
 }
 
+// Withdrawal is a durable withdrawal of a job.
+type Withdrawal struct {
+	Job string
+	// Revision is that of the transaction which made it durable.
+	Revision uint64
+	// At is the time of day in the job's record.
+	At clock.Micros
+}
+
 // Beat is one message.
 type Beat struct {
 	Member  string
@@ -71,6 +82,11 @@
 	// Holdings and RunTimes are what the next leader would have to learn anew.
 	Holdings []Holding
 	RunTimes []RunTimes
+
+	// Revision tells how new the speaker's view of the state service is.
+	Revision uint64
+	// Withdrawals are those that the receiver's view may lack.
+	Withdrawals []Withdrawal
 }
 
 // Encode makes the frame of a beat.
@@ -90,6 +106,7 @@
 		offs[i] = fb.CountEnd(fbb)
 	}
 	vec := vector(fbb, offs)
+	withdrawals := encodeWithdrawals(fbb, b.Withdrawals)
 	holdings, runs := encodeHoldings(fbb, b.Holdings), encodeRunTimes(fbb, b.RunTimes)
 	member, leader := fbb.CreateString(b.Member), fbb.CreateString(b.Leader)
 	fb.BeatStart(fbb)
@@ -106,6 +123,8 @@
 	fb.BeatAddQuietFor(fbb, int64(b.QuietFor))
 	fb.BeatAddHoldings(fbb, holdings)
 	fb.BeatAddRunTimes(fbb, runs)
+	fb.BeatAddRevision(fbb, b.Revision)
+	fb.BeatAddWithdrawals(fbb, withdrawals)
 	fbb.FinishSizePrefixed(fb.BeatEnd(fbb))
 	return fbb.FinishedBytes()
 }
@@ -150,6 +169,34 @@
 	return vector(fbb, offs)
 }
 
+func encodeWithdrawals(fbb *flatbuffers.Builder, withdrawals []Withdrawal) flatbuffers.UOffsetT {
+	var offsets []flatbuffers.UOffsetT
+	for _, w := range withdrawals[:min(len(withdrawals), MaxWithdrawals)] {
+		job := fbb.CreateString(w.Job)
+		fb.WithdrawalStart(fbb)
+		fb.WithdrawalAddJob(fbb, job)
+		fb.WithdrawalAddRevision(fbb, w.Revision)
+		fb.WithdrawalAddAt(fbb, int64(w.At))
+		offsets = append(offsets, fb.WithdrawalEnd(fbb))
+	}
+	return vector(fbb, offsets)
+}
+
+func decodeWithdrawals(r *fb.Beat) ([]Withdrawal, error) {
+	if r.WithdrawalsLength() > MaxWithdrawals {
+		return nil, errMalformed
+	}
+	var withdrawals []Withdrawal
+	var w fb.Withdrawal
+	for i := range r.WithdrawalsLength() {
+		if !r.Withdrawals(&w, i) {
+			return nil, errMalformed
+		}
+		withdrawals = append(withdrawals, Withdrawal{Job: string(w.Job()), Revision: w.Revision(), At: clock.Micros(w.At())})
+	}
+	return withdrawals, nil
+}
+
 var errMalformed = errors.New("peer: malformed beat")
 
 // Decode reads one frame's content, without its size. FlatBuffers for Go has
@@ -203,6 +250,11 @@
 		}
 		b.RunTimes = append(b.RunTimes, RunTimes{Class: string(t.Class()), Count: t.Count(), Mean: t.Mean(), Square: t.Square()})
 	}
+	b.Revision = r.Revision()
+	b.Withdrawals, err = decodeWithdrawals(r)
+	if err != nil {
+		return nil, err
+	}
 	return b, nil
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/seed"
 )
 
@@ -34,6 +35,13 @@
 				Mean: rapid.Float64Range(-9, 9).Draw(t, "mean"), Square: rapid.Float64Range(0, 81).Draw(t, "square"),
 			})
 		}
+		b.Revision = rapid.Uint64().Draw(t, "revision")
+		for i := rapid.IntRange(0, 3).Draw(t, "withdrawals"); i > 0; i-- {
+			b.Withdrawals = append(b.Withdrawals, Withdrawal{
+				Job: rapid.String().Draw(t, "withdrawn job"), Revision: rapid.Uint64().Draw(t, "withdrawn at revision"),
+				At: clock.Micros(rapid.Int64().Draw(t, "withdrawn at")),
+			})
+		}
 		return b
 	})
 }
