--- a/cmd/firwood/main.go
+++ b/cmd/firwood/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -133,7 +134,7 @@
 	runtime.GOMAXPROCS(2)
 
 	log = log.With("member", p.Member)
-	c := core.New(p, t, log)
+	c := core.New(p, t, log, client.DialTCP)
 	srv := server.New(server.Config{
 		Serve: p.Serve, Peer: p.PeerBind, Sockets: c.Sockets(), MakeRoom: c.MakeRoom,
 		Idle: 90 * clock.Second, Half: 10 * clock.Second, Lease: clock.FromSeconds(p.Deployment.Workers.LeaseS),
@@ -142,7 +143,7 @@
 
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Run() }()
-	go c.Run()
+	go c.Run(context.Background())
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	select {
@@ -159,7 +160,7 @@
 	if _, err := netip.ParseAddrPort(node); err != nil {
 		return nil, fmt.Errorf("%q is not IP:port", node)
 	}
-	h := client.NewHost(node, 0, 4<<20)
+	h := client.NewHost(client.DialTCP, node, 0, 4<<20)
 	defer h.Close()
 	return h.Do(client.Request{Method: method, Target: target, Body: body, Timeout: 10 * clock.Second})
 }
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -16,6 +16,14 @@
 	"firwood.dev/firwood/internal/sockets"
 )
 
+// Dialer opens a connection to an address.
+type Dialer func(address string, timeout time.Duration) (net.Conn, error)
+
+// DialTCP dials over TCP.
+func DialTCP(address string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp4", address, timeout)
+}
+
 // ErrLate tells that a request was not sent because its sender was no longer
 // entitled to send it.
 var ErrLate = errors.New("client: the time to send has passed")
@@ -28,6 +36,7 @@
 
 // Host is one place that is called, with its idle connections.
 type Host struct {
+	dial   Dialer
 	addr   string
 	limits http1.Limits
 
@@ -52,6 +61,7 @@
 // Pool bounds the connections to many hosts together. When the budget allows no
 // more, the one that has lain idle longest makes room.
 type Pool struct {
+	dial   Dialer
 	budget *sockets.Budget
 
 	mu   sync.Mutex
@@ -59,7 +69,9 @@
 }
 
 // NewPool makes a pool of connections that go out, within the budget.
-func NewPool(b *sockets.Budget) *Pool { return &Pool{budget: b, idle: list.New()} }
+func NewPool(dial Dialer, b *sockets.Budget) *Pool {
+	return &Pool{dial: dial, budget: b, idle: list.New()}
+}
 
 // reserve books a connection, at the cost of an idle one if need be.
 func (p *Pool) reserve() bool {
@@ -120,15 +132,15 @@
 const idleFor = 20 * clock.Second
 
 // NewHost makes a place to call; at most `most` idle connections are kept.
-func NewHost(addr string, most, maxBody int) *Host {
+func NewHost(dial Dialer, addr string, most, maxBody int) *Host {
 	l := http1.DefaultLimits
 	l.Body = maxBody
-	return &Host{addr: addr, limits: l, most: most}
+	return &Host{dial: dial, addr: addr, limits: l, most: most}
 }
 
 // Host makes a place to call whose connections count towards the pool.
 func (p *Pool) Host(addr string, most, maxBody int) *Host {
-	h := NewHost(addr, most, maxBody)
+	h := NewHost(p.dial, addr, most, maxBody)
 	h.pool = p
 	return h
 }
@@ -216,7 +228,7 @@
 		if h.pool != nil && !h.pool.reserve() {
 			return nil, &SendError{ErrBusy}
 		}
-		nc, err := net.DialTimeout("tcp4", h.addr, r.Timeout.Duration())
+		nc, err := h.dial(h.addr, r.Timeout.Duration())
 		if err != nil {
 			if h.pool != nil {
 				h.pool.release()
--- a/internal/client/pool_test.go
+++ b/internal/client/pool_test.go
@@ -17,7 +17,7 @@
 func TestPoolBound(t *testing.T) {
 	const most = 3
 	budget := sockets.New(most)
-	p := NewPool(budget)
+	p := NewPool(DialTCP, budget)
 	held := func() int {
 		_, out := budget.Open()
 		return out
--- a/internal/client/threads_test.go
+++ b/internal/client/threads_test.go
@@ -34,7 +34,7 @@
 			arrived <- struct{}{}
 		}
 	}()
-	p := NewPool(sockets.New(2 * hung))
+	p := NewPool(DialTCP, sockets.New(2*hung))
 	var wg sync.WaitGroup
 	for i := 0; i < hung; i++ {
 		h := p.Host(l.Addr().String(), 1, 1<<10)
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -16,6 +16,10 @@
 
 var start = time.Now()
 
+// Restart puts the zero of the steady clock to now. Tests in simulated time call it
+// first: their time does not go on from that of the process.
+func Restart() { start = time.Now() }
+
 // Now reads the steady clock. Its zero lies one second before the start of the
 // process, so that a zero instant always means "never".
 func Now() Micros { return Micros(time.Since(start).Microseconds()) + Second }
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -37,8 +37,8 @@
 )
 
 // New makes a client for the cloud at addr, which allows rps requests a second.
-func New(addr string, rps float64) *Client {
-	return &Client{host: client.NewHost(addr, 4, maxAnswer), budget: client.NewBudget(rps/4, 2), rps: rps}
+func New(dial client.Dialer, addr string, rps float64) *Client {
+	return &Client{host: client.NewHost(dial, addr, 4, maxAnswer), budget: client.NewBudget(rps/4, 2), rps: rps}
 }
 
 // SetShare sets which part of the cloud's rate this process may use.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,7 @@
 package core
 
 import (
+	"context"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 // that are made once.
 type Core struct {
 	cfg    *config.Platform
+	dial   client.Dialer
+	ended  chan struct{} // closed when Run has returned
 	tuning config.Tuning
 	log    *slog.Logger
 	q      *queue
@@ -78,11 +81,12 @@
 	dropLogAt clock.Micros
 	dropsTold int64
 	unfit     atomic.Bool // users should not be sent here
+	leads     atomic.Bool // as of the last tick
 
 }
 
-// New makes the owner; nothing runs before Run.
-func New(cfg *config.Platform, tuning config.Tuning, log *slog.Logger) *Core {
+// New makes the owner, which reaches the outside by dial; nothing runs before Run.
+func New(cfg *config.Platform, tuning config.Tuning, log *slog.Logger, dial client.Dialer) *Core {
 	d := &cfg.Deployment
 	ttl := clock.FromSeconds(tuning.LeaderTTLS)
 	if ttl == 0 {
@@ -93,11 +97,11 @@
 		ttl = min(max(clock.FromSeconds(d.Workers.LeaseS)/6, 3*clock.Second), 6*clock.Second)
 	}
 	c := &Core{
-		cfg: cfg, tuning: tuning, log: log, q: newQueue(),
-		store: state.New(cfg.Outside.State, state.Limits{
+		cfg: cfg, tuning: tuning, log: log, dial: dial, ended: make(chan struct{}), q: newQueue(),
+		store: state.New(dial, cfg.Outside.State, state.Limits{
 			RPS: d.State.RPS, WriteRPS: d.State.WriteRPS, TxnOps: d.State.TxnOps,
 		}, keyLock),
-		cloud:      cloud.New(cfg.Outside.Cloud, d.Cloud.RPS),
+		cloud:      cloud.New(dial, cfg.Outside.Cloud, d.Cloud.RPS),
 		sockets:    sockets.New(cfg.Sockets()),
 		directs:    max(cfg.Sockets()/24, 4),
 		teams:      map[string]ledger.Team{},
@@ -110,7 +114,7 @@
 		stamps:     map[string]vouch.Stamp{},
 		asked:      map[string]asked{},
 	}
-	c.toWorkers = client.NewPool(c.sockets)
+	c.toWorkers = client.NewPool(dial, c.sockets)
 	c.chunk = chunkOf(d.State.ValueKB)
 	w := &d.Workers
 	// A worker waits a second before each other node, and tries it for four seconds.
@@ -152,10 +156,13 @@
 	standstill = 2 * clock.Second
 )
 
-// Run works until the process ends.
-func (c *Core) Run() {
+// Run works until the context ends, which in a controller it never does.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.ended)
 	for _, o := range c.cfg.Others {
-		c.links = append(c.links, peer.NewLink(o.Address))
+		link := peer.NewLink(c.dial, o.Address)
+		defer link.Close()
+		c.links = append(c.links, link)
 	}
 	c.applyShares()
 	c.load()
@@ -163,6 +170,8 @@
 	defer t.Stop()
 	for {
 		select {
+		case <-ctx.Done():
+			return
 		case <-c.q.wake:
 		case <-t.C:
 		}
@@ -193,6 +202,7 @@
 			c.lead.tick(now)
 		}
 	}
+	c.leads.Store(c.lead != nil && c.entitled())
 	c.tellWithdrawals(now)
 	c.beat(now)
 }
@@ -200,6 +210,10 @@
 // entitled tells whether this process may act for the controllers now.
 func (c *Core) entitled() bool { return c.el.Entitled(clock.Now()) }
 
+// Leads tells whether this process answers workers as leader; it may be called on
+// any goroutine.
+func (c *Core) Leads() bool { return c.leads.Load() }
+
 // applyShares splits the outside services' rates: the leader gets half, the
 // others share the rest.
 func (c *Core) applyShares() {
--- a/internal/core/lead_test.go
+++ b/internal/core/lead_test.go
@@ -50,7 +50,7 @@
 	d.State = config.State{RPS: 100, WriteRPS: 100, ValueKB: 16, TxnOps: 16}
 	d.Cloud = config.Cloud{RPS: 10, ListLagS: 1}
 	d.Limits = config.Limits{Cores: 1, RAMMB: 100, MaxSockets: 1000}
-	c := New(cfg, config.DefaultTuning(), slog.New(slog.DiscardHandler))
+	c := New(cfg, config.DefaultTuning(), slog.New(slog.DiscardHandler), client.DialTCP)
 	c.types = []wire.MachineType{{Name: "big", CPUs: 16, MemoryGB: 64, Price: 1, BootS: 15, Zones: d.Zones}}
 	c.view.hires["h"] = &hireRecord{Type: "big", Zone: "x", Count: len(machines), At: int64(clock.Wall() - 300*clock.Second), Resolved: true, Machines: machines}
 	return newLead(c, 9, clock.Now())
--- a/internal/core/outage_test.go
+++ b/internal/core/outage_test.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"testing"
 
+	"firwood.dev/firwood/internal/client"
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/config"
 	"firwood.dev/firwood/internal/server"
@@ -25,7 +26,7 @@
 		d.Workers = config.Workers{ReportS: 1.5, LeaseS: 10, GangWaitS: 45, GangPeerS: 6, CancelS: 35}
 		d.State = config.State{RPS: 100, WriteRPS: 20, ValueKB: 4, TxnOps: 8}
 		d.Limits = config.Limits{Cores: 1, RAMMB: 100, MaxSockets: 900}
-		return New(cfg, config.DefaultTuning(), slog.New(slog.DiscardHandler))
+		return New(cfg, config.DefaultTuning(), slog.New(slog.DiscardHandler), client.DialTCP)
 	}
 	if c := with("x", "y"); c.times.For != 0 {
 		t.Fatal("rights where a cut of a zone would put off the proof that a lease is over")
--- a/internal/core/repeat_test.go
+++ b/internal/core/repeat_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"firwood.dev/firwood/internal/client"
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/planner"
 	"firwood.dev/firwood/internal/standin"
@@ -35,7 +36,7 @@
 	defer stop()
 	l := rebuilt(t)
 	c := l.c
-	c.store = state.New(s.Addr, state.Limits{RPS: 1000, WriteRPS: 1000, TxnOps: 16}, keyLock)
+	c.store = state.New(client.DialTCP, s.Addr, state.Limits{RPS: 1000, WriteRPS: 1000, TxnOps: 16}, keyLock)
 	var token uint64
 	c.store.Commit(&state.Write{If: []wire.Condition{{Key: keyLock}}, Then: []wire.Change{{Put: keyLock, Value: []byte(`{"m":"a"}`)}}, Done: func(_ state.Outcome, rev uint64) {
 		c.post(func() { token = rev })
--- a/internal/core/small_test.go
+++ b/internal/core/small_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"firwood.dev/firwood/internal/client"
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/ledger"
 	"firwood.dev/firwood/internal/standin"
@@ -24,7 +25,7 @@
 		core := l.c
 		core.cfg.Deployment.State.ValueKB, core.cfg.Deployment.State.TxnOps = c.valueKB, c.ops
 		core.chunk = chunkOf(c.valueKB)
-		core.store = state.New(s.Addr, state.Limits{RPS: 1000, WriteRPS: 1000, TxnOps: c.ops}, keyLock)
+		core.store = state.New(client.DialTCP, s.Addr, state.Limits{RPS: 1000, WriteRPS: 1000, TxnOps: c.ops}, keyLock)
 		var token uint64
 		core.store.Commit(&state.Write{If: []wire.Condition{{Key: keyLock}}, Then: []wire.Change{{Put: keyLock, Value: []byte(`{"m":"a"}`)}}, Done: func(_ state.Outcome, rev uint64) {
 			core.post(func() { token = rev })
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -172,7 +172,12 @@
 	since := make(chan uint64, 1)
 	// The revision is read by the owner as late as possible.
 	c.post(func() { since <- c.view.rev })
-	from := <-since
+	var from uint64
+	select {
+	case from = <-since:
+	case <-c.ended:
+		return
+	}
 	events, err := c.store.Watch(prefix, from, block)
 	c.post(func() {
 		if err == nil {
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -64,7 +64,7 @@
 }
 
 func ask(n *node, method, target string, body []byte) *http1.Message {
-	h := client.NewHost(n.serve, 0, 1<<20)
+	h := client.NewHost(client.DialTCP, n.serve, 0, 1<<20)
 	m, err := h.Do(client.Request{Method: method, Target: target, Body: body, Timeout: 3 * clock.Second})
 	if err != nil {
 		return &http1.Message{}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -285,19 +285,27 @@
 // Link sends beats to one other controller. Only the newest waits: a beat that
 // was overtaken says nothing that the newer one does not.
 type Link struct {
+	dial Dialer
 	addr string
 	mu   sync.Mutex
 	next []byte
 	wake chan struct{}
+	done chan struct{}
 }
 
+// Dialer opens a connection to an address.
+type Dialer = func(address string, timeout time.Duration) (net.Conn, error)
+
 // NewLink starts a link.
-func NewLink(addr string) *Link {
-	l := &Link{addr: addr, wake: make(chan struct{}, 1)}
+func NewLink(dial Dialer, addr string) *Link {
+	l := &Link{dial: dial, addr: addr, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	go l.run()
 	return l
 }
 
+// Close ends the link; nothing may be sent after that.
+func (l *Link) Close() { close(l.done) }
+
 // Send replaces what waits to be sent.
 func (l *Link) Send(frame []byte) {
 	l.mu.Lock()
@@ -317,13 +325,23 @@
 
 func (l *Link) run() {
 	var c net.Conn
-	for range l.wake {
+	defer func() {
+		if c != nil {
+			c.Close()
+		}
+	}()
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-l.wake:
+		}
 		l.mu.Lock()
 		frame := l.next
 		l.mu.Unlock()
 		if c == nil {
 			var err error
-			if c, err = net.DialTimeout("tcp4", l.addr, dialTimeout.Duration()); err != nil {
+			if c, err = l.dial(l.addr, dialTimeout.Duration()); err != nil {
 				c = nil
 				time.Sleep(redialAfter.Duration())
 				continue
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -91,6 +91,14 @@
 type Reply struct {
 	c  *conn
 	At clock.Micros // when the request had arrived
+	// send, if not nil, takes the answer in place of a connection.
+	send func(status int, body []byte, retryAfter int)
+}
+
+// NewReply makes a Reply whose answer goes to a function, for callers of an App
+// that have no connection.
+func NewReply(send func(status int, body []byte, retryAfter int)) *Reply {
+	return &Reply{At: clock.Now(), send: send}
 }
 
 // Send answers. It may be called once, from any goroutine.
@@ -101,6 +109,11 @@
 // SendUntil answers unless the instant has passed when the answer is written:
 // then 503 goes out in its place.
 func (r *Reply) SendUntil(status int, body []byte, retryAfter int, until clock.Micros) {
+	if r.send != nil {
+		a := (&answer{status, retryAfter, body, until}).checked()
+		r.send(a.status, a.body, a.retry)
+		return
+	}
 	if r.c == nil {
 		return
 	}
@@ -345,10 +358,16 @@
 // answer. A client that pipelines all the same gets one answer and a close.
 func (s *Server) write(out []byte, k *conn, a *answer) []byte {
 	k.last = k.last || k.parser.Held() > 0
+	a = a.checked()
+	return http1.AppendResponse(out, a.status, a.body, a.retry, k.last)
+}
+
+// checked is the answer, or a refusal once its time is over.
+func (a *answer) checked() *answer {
 	if a.until != 0 && clock.Now() >= a.until {
-		a = &answer{status: 503, retry: 1, body: errorBody("no longer entitled to answer")}
+		return &answer{status: 503, retry: 1, body: errorBody("no longer entitled to answer")}
 	}
-	return http1.AppendResponse(out, a.status, a.body, a.retry, k.last)
+	return a
 }
 
 func errorBody(text string) []byte {
--- /dev/null
+++ b/internal/standin/network.go
@@ -0,0 +1,51 @@
+package standin
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"time"
+)
+
+// Network is how stand-ins listen and call: over loopback, or in memory.
+type Network interface {
+	// Listen opens a listener of a host.
+	Listen(host string) (net.Listener, error)
+	// Dial connects a host to an address.
+	Dial(host, address string, timeout time.Duration) (net.Conn, error)
+}
+
+// Loopback is the real network of this machine; it does not tell hosts apart.
+type Loopback struct{}
+
+// Listen opens a listener on a free port.
+func (Loopback) Listen(string) (net.Listener, error) { return net.Listen("tcp4", "127.0.0.1:0") }
+
+// Dial connects over TCP.
+func (Loopback) Dial(_, address string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp4", address, timeout)
+}
+
+// Serve runs an HTTP server of a host until the returned function is called.
+func Serve(n Network, host string, h http.Handler) (address string, stop func()) {
+	l, err := n.Listen(host)
+	if err != nil {
+		panic(err)
+	}
+	s := &http.Server{Handler: buffered(h)}
+	go s.Serve(l) //nolint:errcheck // ends with Close
+	return l.Addr().String(), func() { s.Close() }
+}
+
+// buffered has a handler's answer written after it has returned: handlers hold
+// locks, and a peer behind a cut takes no data.
+func buffered(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorded := httptest.NewRecorder()
+		h.ServeHTTP(recorded, r)
+		maps.Copy(w.Header(), recorded.Header())
+		w.WriteHeader(recorded.Code)
+		w.Write(recorded.Body.Bytes()) //nolint:errcheck // the peer may be gone
+	})
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,367 @@
+// Package standin owns our own stand-ins of the outside world: a state
+// service, a cloud and its workers, written from the published protocol, for
+// tests that run controllers on loopback, or in memory and simulated time.
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"firwood.dev/firwood/wire"
+)
+
+// State is a state service in memory.
+type State struct {
+	Addr string
+
+	mu     sync.Mutex
+	cond   *sync.Cond
+	rev    uint64
+	keys   map[string]*entry
+	log    []logged
+	leases map[uint64]*grant
+	next   uint64
+	down   bool
+	txns   []wire.Txn // all that were carried out
+	// faults are those of single callers, by host.
+	faults map[string]StateFault
+	done   chan struct{}
+}
+
+// StateFault is how the service treats one caller.
+type StateFault uint8
+
+const (
+	// Served: as usual.
+	Served StateFault = iota
+	// Refused: each request gets 503, open watches wait.
+	Refused
+	// AnswersLost: transactions are carried out, their answers are lost.
+	AnswersLost
+	// CarriedOutLate: transactions get no answer and are carried out lateBy later.
+	CarriedOutLate
+)
+
+// lateBy is how late transactions are carried out that are to be late.
+const lateBy = 5 * time.Second
+
+// SetFault sets how the service treats a caller.
+func (s *State) SetFault(host string, f StateFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[host] = f
+	s.cond.Broadcast()
+}
+
+type entry struct {
+	value   json.RawMessage
+	version uint64
+	lease   uint64
+}
+
+type logged struct {
+	key   string
+	event wire.Event
+}
+
+type grant struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	w.Write(b) //nolint:errcheck // the peer may be gone
+}
+
+func read(r *http.Request, v any) bool {
+	b, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	return err == nil && json.Unmarshal(b, v) == nil
+}
+
+// NewState starts a state service on loopback; the function ends it.
+func NewState() (*State, func()) { return NewStateOn(Loopback{}) }
+
+// StateHost is the host of the state service.
+const StateHost = "state"
+
+// expireEvery is how often leases and long polls are looked at.
+const expireEvery = 20 * time.Millisecond
+
+// NewStateOn starts a state service on a network; the function ends it.
+func NewStateOn(n Network) (*State, func()) {
+	s := &State{
+		keys: map[string]*entry{}, leases: map[uint64]*grant{}, faults: map[string]StateFault{}, done: make(chan struct{}),
+	}
+	s.cond = sync.NewCond(&s.mu)
+	var stop func()
+	s.Addr, stop = Serve(n, StateHost, s)
+	go func() {
+		ticker := time.NewTicker(expireEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-s.done:
+				s.expire()
+				return
+			case <-ticker.C:
+				s.expire()
+			}
+		}
+	}()
+	return s, func() { close(s.done); stop() }
+}
+
+// SetDown begins or ends an outage; after it every lease has its time again.
+func (s *State) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	for _, g := range s.leases {
+		g.ends = time.Now().Add(g.ttl)
+	}
+	s.cond.Broadcast()
+}
+
+// Keys lists the keys below a prefix.
+func (s *State) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, k)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Value is what a key holds, empty if there is none.
+func (s *State) Value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.keys[key]; e != nil {
+		return string(e.value)
+	}
+	return ""
+}
+
+// Transactions are those that were carried out so far.
+func (s *State) Transactions() []wire.Txn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]wire.Txn(nil), s.txns...)
+}
+
+// Repeat carries a transaction out again, as a copy that comes late would be.
+func (s *State) Repeat(t wire.Txn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.carry(t)
+}
+
+func (s *State) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.down {
+		for id, g := range s.leases {
+			if time.Now().After(g.ends) {
+				s.endLease(id)
+			}
+		}
+	}
+	s.cond.Broadcast() // long polls look at their time
+}
+
+func (s *State) endLease(id uint64) {
+	delete(s.leases, id)
+	for k, e := range s.keys {
+		if e.lease == id {
+			s.rev++
+			delete(s.keys, k)
+			s.log = append(s.log, logged{k, wire.Event{Delete: k, Version: s.rev}})
+		}
+	}
+	s.cond.Broadcast()
+}
+
+func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := r.URL.Query()
+	path := r.URL.Path
+	caller := CallerOf(r.RemoteAddr)
+	if s.down || s.faults[caller] == Refused {
+		reply(w, 503, wire.ErrorBody{Error: "trouble"})
+		return
+	}
+	switch {
+	case path == "/kv":
+		limit, err := strconv.Atoi(q.Get("limit"))
+		if err != nil || limit > 1000 {
+			limit = 1000
+		}
+		var names []string
+		for k := range s.keys {
+			if strings.HasPrefix(k, q.Get("under")) && k > q.Get("since") {
+				names = append(names, k)
+			}
+		}
+		sort.Strings(names)
+		p := wire.Page{Revision: s.rev, Items: []wire.Item{}}
+		for _, k := range names {
+			if len(p.Items) == limit {
+				p.More = true
+				break
+			}
+			p.Items = append(p.Items, wire.Item{Key: k, Value: []byte(s.keys[k].value), Version: s.keys[k].version})
+		}
+		reply(w, 200, p)
+	case strings.HasPrefix(path, "/kv/"):
+		e := s.keys[path[4:]]
+		if e == nil {
+			reply(w, 404, map[string]uint64{"ledger": s.rev})
+			return
+		}
+		reply(w, 200, wire.Item{Key: path[4:], Value: []byte(e.value), Version: e.version, Lease: e.lease})
+	case path == "/txn":
+		s.txn(w, r, s.faults[caller])
+	case path == "/grants":
+		var g wire.Grant
+		if !read(r, &g) || g.TTLMs < 100 {
+			reply(w, 400, struct{}{})
+			return
+		}
+		s.next++
+		ttl := time.Duration(g.TTLMs) * time.Millisecond
+		s.leases[s.next] = &grant{ttl, time.Now().Add(ttl)}
+		reply(w, 200, wire.Granted{Lease: s.next})
+	case strings.HasPrefix(path, "/grants/"):
+		id, err := strconv.ParseUint(strings.TrimSuffix(path[len("/grants/"):], "/renew"), 10, 64)
+		g := s.leases[id]
+		if err != nil || g == nil {
+			reply(w, 404, struct{}{})
+			return
+		}
+		if r.Method == "DELETE" {
+			s.endLease(id)
+		} else {
+			g.ends = time.Now().Add(g.ttl)
+		}
+		reply(w, 200, struct{}{})
+	case path == "/watch":
+		s.watch(w, caller, q)
+	default:
+		reply(w, 404, struct{}{})
+	}
+}
+
+func (s *State) txn(w http.ResponseWriter, r *http.Request, fault StateFault) {
+	var t wire.Txn
+	if !read(r, &t) {
+		reply(w, 400, struct{}{})
+		return
+	}
+	switch fault {
+	case AnswersLost:
+		s.carry(t)
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	case CarriedOutLate:
+		time.AfterFunc(lateBy, func() { s.Repeat(t) })
+		panic(http.ErrAbortHandler)
+	}
+	switch failed, ok := s.carry(t); {
+	case !ok:
+		reply(w, 400, wire.ErrorBody{Error: "no such lease"})
+	case failed != nil:
+		reply(w, 409, wire.TxnResult{Revision: s.rev, Failed: failed})
+	default:
+		reply(w, 200, wire.TxnResult{Revision: s.rev})
+	}
+}
+
+// carry carries a transaction out, or tells which conditions failed; not ok means
+// that a lease is gone. The lock is held.
+func (s *State) carry(t wire.Txn) (_ []string, ok bool) {
+	for _, c := range t.Then {
+		if c.Put != "" && c.Lease != 0 && s.leases[c.Lease] == nil {
+			return nil, false
+		}
+	}
+	var failed []string
+	for _, c := range t.If {
+		var v uint64
+		if e := s.keys[c.Key]; e != nil {
+			v = e.version
+		}
+		if v != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return failed, true
+	}
+	if len(t.Then) > 0 {
+		s.rev++
+		s.txns = append(s.txns, t)
+	}
+	for _, c := range t.Then {
+		if c.Delete != "" {
+			delete(s.keys, c.Delete)
+			s.log = append(s.log, logged{c.Delete, wire.Event{Delete: c.Delete, Version: s.rev}})
+			continue
+		}
+		v := append(json.RawMessage(nil), c.Value...)
+		s.keys[c.Put] = &entry{v, s.rev, c.Lease}
+		s.log = append(s.log, logged{c.Put, wire.Event{Put: c.Put, Value: []byte(v), Version: s.rev}})
+	}
+	s.cond.Broadcast()
+	return nil, true
+}
+
+// watch answers once a key has changed, or the time is over. In an outage it waits.
+func (s *State) watch(w http.ResponseWriter, caller string, q url.Values) {
+	from, err1 := strconv.ParseUint(q.Get("since"), 10, 64)
+	ms, err2 := strconv.Atoi(q.Get("blockMs"))
+	if err1 != nil || err2 != nil {
+		reply(w, 400, struct{}{})
+		return
+	}
+	until := time.Now().Add(time.Duration(ms) * time.Millisecond)
+	for !s.closed() {
+		e := wire.Events{Revision: s.rev, Events: []wire.Event{}}
+		for _, l := range s.log {
+			if l.event.Version > from && strings.HasPrefix(l.key, q.Get("under")) {
+				e.Events = append(e.Events, l.event)
+			}
+		}
+		refused := s.down || s.faults[caller] == Refused
+		if !refused && (len(e.Events) > 0 || !time.Now().Before(until)) {
+			reply(w, 200, e)
+			return
+		}
+		s.cond.Wait()
+	}
+}
+
+func (s *State) closed() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,307 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"firwood.dev/firwood/wire"
+)
+
+// MachineFault is what is wrong with a machine.
+type MachineFault uint8
+
+const (
+	// Healthy: nothing.
+	Healthy MachineFault = iota
+	// Hanging: nothing runs and nothing is answered; what was sent to it is
+	// carried out when it goes on, if it still may.
+	Hanging
+	// Deaf: its reports arrive, answers and direct commands are lost.
+	Deaf
+	// Mute: it reaches no controller; direct commands reach it.
+	Mute
+	// Slow: direct commands are carried out slowBy late and not answered.
+	Slow
+)
+
+const (
+	// slowBy is how late a slow machine carries commands out.
+	slowBy = 8 * time.Second
+	// answerTimeout is how long a worker waits for an answer.
+	answerTimeout = 4 * time.Second
+	// betweenNodes is how long a worker waits before it tries another controller.
+	betweenNodes = 200 * time.Millisecond
+)
+
+// worker is a machine's worker. Its fields are guarded by the cloud's lock.
+type worker struct {
+	cloud    *Cloud
+	hire     wire.Hire
+	name     string
+	addr     string
+	stop     func()
+	gone     bool
+	fault    MachineFault
+	report   wire.Report
+	lastBody []byte
+	ends     map[string]time.Time
+	node     int
+	last     time.Time // when the last answered report was sent
+	poke     chan struct{}
+	client   *http.Client
+}
+
+func newWorker(c *Cloud, h wire.Hire, name string) *worker {
+	k := &worker{cloud: c, hire: h, name: name, ends: map[string]time.Time{}, last: time.Now(), poke: make(chan struct{}, 1)}
+	k.addr, k.stop = Serve(c.cfg.Network, name, k)
+	k.report = wire.Report{Machine: name, Addr: k.addr, Type: h.Type, Zone: h.Zone, Spot: h.Spot, Session: 1, Tasks: []wire.TaskReport{}}
+	k.client = &http.Client{
+		Timeout:       answerTimeout,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
+			return c.cfg.Network.Dial(name, address, answerTimeout)
+		}},
+	}
+	return k
+}
+
+func (k *worker) listed() wire.ListedMachine {
+	return wire.ListedMachine{ID: k.name, Addr: k.addr, Type: k.hire.Type, Zone: k.hire.Zone, Spot: k.hire.Spot, State: wire.MachineRunning}
+}
+
+// run reports until the machine is gone.
+func (k *worker) run() {
+	c := k.cloud
+	defer k.client.CloseIdleConnections()
+	wait := c.cfg.Boot
+	for {
+		select {
+		case <-c.done:
+			return
+		case <-k.poke:
+			time.Sleep(20 * time.Millisecond)
+		case <-time.After(wait):
+		}
+		c.mu.Lock()
+		gone, idle := k.gone, k.fault == Hanging || k.fault == Mute
+		c.mu.Unlock()
+		switch {
+		case gone:
+			return
+		case idle:
+			wait = betweenNodes
+		default:
+			wait = k.reportOnce()
+		}
+	}
+}
+
+// reportOnce sends a report and takes its answer; it returns when the next is due.
+func (k *worker) reportOnce() time.Duration {
+	c := k.cloud
+	c.mu.Lock()
+	k.step()
+	k.report.Seq++
+	sent, session := time.Now(), k.report.Session
+	body, err := json.Marshal(k.report)
+	if err != nil {
+		panic(err)
+	}
+	k.lastBody = body
+	node := c.cfg.Names[k.node%len(c.cfg.Names)]
+	url := "http://" + c.cfg.Controllers[node] + "/checkin"
+	c.mu.Unlock()
+
+	status, answer := k.post(url, body)
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.fault == Deaf || k.fault == Hanging {
+		status = 0
+	}
+	switch status {
+	case 200:
+		var rep wire.Reply
+		if json.Unmarshal(answer, &rep) == nil && rep.Token >= k.report.Token && session == k.report.Session {
+			k.report.Token = rep.Token
+			k.last = sent
+			k.exec(rep.Commands)
+		}
+		return c.cfg.ReportEvery
+	case 421:
+		if k.redirected(answer, node) {
+			return 0
+		}
+	}
+	k.node++
+	return betweenNodes
+}
+
+func (k *worker) post(url string, body []byte) (int, []byte) {
+	res, err := k.client.Post(url, "application/json", strings.NewReader(string(body)))
+	if err != nil {
+		return 0, nil
+	}
+	defer res.Body.Close()
+	answer, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return res.StatusCode, answer
+}
+
+// redirected follows an answer that names another controller. The lock is held.
+func (k *worker) redirected(answer []byte, from string) bool {
+	var e wire.Elsewhere
+	if json.Unmarshal(answer, &e) != nil {
+		return false
+	}
+	for i, name := range k.cloud.cfg.Names {
+		if name == e.ReportTo && name != from {
+			k.node = i
+			return true
+		}
+	}
+	return false
+}
+
+// step lets time act: the lease, and tasks that are done. The lock is held.
+func (k *worker) step() {
+	now := time.Now()
+	if now.Sub(k.last) > k.cloud.cfg.Lease {
+		k.endAll()
+		k.report.Session++
+		k.report.Tasks = []wire.TaskReport{}
+		k.last = now
+	}
+	if k.fault == Hanging {
+		return
+	}
+	for i := range k.report.Tasks {
+		t := &k.report.Tasks[i]
+		if end, ok := k.ends[t.Task]; ok && t.State == wire.TaskRunning && !end.IsZero() && now.After(end) {
+			k.exit(t, wire.WhyDone)
+		}
+	}
+}
+
+func (k *worker) exit(t *wire.TaskReport, why string) {
+	t.State, t.Why = wire.TaskExited, why
+	if o := k.cloud.cfg.Observer; o != nil {
+		o.Ended(k.name, t.Task, why)
+	}
+}
+
+// endAll ends every task without a trace.
+func (k *worker) endAll() {
+	for i := range k.report.Tasks {
+		if t := &k.report.Tasks[i]; t.State != wire.TaskExited {
+			k.exit(t, wire.WhyStopped)
+		}
+	}
+}
+
+func (k *worker) find(id string) int {
+	for i := range k.report.Tasks {
+		if k.report.Tasks[i].Task == id {
+			return i
+		}
+	}
+	return -1
+}
+
+func (k *worker) exec(cmds []wire.Command) {
+	for _, cmd := range cmds {
+		i := k.find(cmd.Task)
+		switch cmd.Op {
+		case wire.OpStart:
+			if i < 0 {
+				k.startTask(cmd)
+			}
+		case wire.OpStop:
+			if i >= 0 && k.report.Tasks[i].Attempt == cmd.Attempt && k.report.Tasks[i].State != wire.TaskExited {
+				k.exit(&k.report.Tasks[i], wire.WhyStopped)
+			}
+		case wire.OpForget:
+			if i >= 0 && k.report.Tasks[i].Attempt == cmd.Attempt && k.report.Tasks[i].State == wire.TaskExited {
+				k.report.Tasks = append(k.report.Tasks[:i], k.report.Tasks[i+1:]...)
+			}
+		}
+	}
+}
+
+func (k *worker) startTask(cmd wire.Command) {
+	c := k.cloud
+	for _, o := range c.machines {
+		if j := o.find(cmd.Task); o != k && j >= 0 && o.report.Tasks[j].State != wire.TaskExited {
+			c.broken = append(c.broken, fmt.Sprintf("%s starts on %s while on %s", cmd.Task, k.name, o.name))
+		}
+	}
+	c.starts++
+	k.ends[cmd.Task] = time.Now().Add(c.cfg.RunFor)
+	k.report.Tasks = append(k.report.Tasks, wire.TaskReport{Task: cmd.Task, Attempt: cmd.Attempt, State: wire.TaskRunning})
+	if o := c.cfg.Observer; o != nil {
+		o.Started(k.listed(), cmd.Task)
+	}
+}
+
+// ServeHTTP takes commands sent straight to the worker, and tells its state.
+func (k *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := k.cloud
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k.fault == Hanging && !k.gone {
+		c.mu.Unlock()
+		time.Sleep(stepEvery)
+		c.mu.Lock()
+	}
+	if k.gone || k.fault == Deaf {
+		panic(http.ErrAbortHandler) // nothing is answered
+	}
+	if r.Method == "GET" && r.URL.Path == "/status" {
+		k.step()
+		k.report.Seq++
+		reply(w, 200, k.report)
+		return
+	}
+	var d wire.Direct
+	if !read(r, &d) {
+		reply(w, 400, struct{}{})
+		return
+	}
+	if k.fault == Slow {
+		time.AfterFunc(slowBy, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			k.direct(&d)
+		})
+		panic(http.ErrAbortHandler)
+	}
+	status := 409
+	if k.direct(&d) {
+		status = 200
+	}
+	k.report.Seq++
+	reply(w, status, k.report)
+	select {
+	case k.poke <- struct{}{}:
+	default:
+	}
+}
+
+// direct carries a direct message out, if token and session match.
+func (k *worker) direct(d *wire.Direct) bool {
+	k.step()
+	if k.gone || d.Token < k.report.Token || d.Session != k.report.Session {
+		return false
+	}
+	k.report.Token = d.Token
+	k.exec(d.Commands)
+	return true
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -109,9 +109,9 @@
 )
 
 // New makes a client; lockKey is the key that fenced writes are bound to.
-func New(addr string, l Limits, lockKey string) *Client {
+func New(dial client.Dialer, addr string, l Limits, lockKey string) *Client {
 	return &Client{
-		host: client.NewHost(addr, 6, maxAnswer), limits: l, lockKey: lockKey,
+		host: client.NewHost(dial, addr, 6, maxAnswer), limits: l, lockKey: lockKey,
 		reads: client.NewBudget(l.RPS/4, l.RPS/4), writes: client.NewBudget(l.WriteRPS/4, l.WriteRPS/4),
 	}
 }
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -17,7 +17,7 @@
 	t.Helper()
 	s, stop := standin.NewState()
 	t.Cleanup(stop)
-	c := New(s.Addr, Limits{RPS: 1000, WriteRPS: 1000, TxnOps: 4}, "lead")
+	c := New(client.DialTCP, s.Addr, Limits{RPS: 1000, WriteRPS: 1000, TxnOps: 4}, "lead")
 	c.SetShare(1)
 	return c, s
 }
@@ -139,7 +139,7 @@
 		got <- n
 		c.Close()
 	}()
-	h := client.NewHost(l.Addr().String(), 1, 1000)
+	h := client.NewHost(client.DialTCP, l.Addr().String(), 1, 1000)
 	r := client.Request{Method: "POST", Target: "/x", Timeout: 5 * clock.Second, Until: func() clock.Micros { return 1 }}
 	if _, err := h.Do(r); !errors.Is(err, client.ErrLate) {
 		t.Fatalf("too late: %v", err)
@@ -157,7 +157,7 @@
 // When more waits than the rate allows, what somebody waits for goes first, and
 // what can wait is sent only with rate to spare. Nothing of it is lost.
 func TestRanks(t *testing.T) {
-	c := New("127.0.0.1:1", Limits{RPS: 1000, WriteRPS: 8, TxnOps: 8}, "lead")
+	c := New(client.DialTCP, "127.0.0.1:1", Limits{RPS: 1000, WriteRPS: 8, TxnOps: 8}, "lead")
 	c.writes = client.NewBudget(8, 8)
 	c.inFlight, c.looking = maxInFlight, true // the test takes the batches itself
 	write := func(r Rank, key string) {
