--- a/internal/protocoltest/checker.go
+++ b/internal/protocoltest/checker.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,7 +66,7 @@
 	violations []Violation
 	// lateStarts counts starts after a confirmed cancellation, which are no broken
 	// rule within the cancellation time.
-	lateStarts int
+	lateStarts []string
 }
 
 // New makes a checker of an empty history.
@@ -79,11 +80,19 @@
 	return append([]Violation(nil), c.violations...)
 }
 
-// LateStarts counts starts of tasks whose job was confirmed as cancelled.
-func (c *Checker) LateStarts() int {
+// LateStarts lists starts of tasks whose job was confirmed as cancelled.
+func (c *Checker) LateStarts() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lateStarts
+	return slices.Clone(c.lateStarts)
+}
+
+// IsService tells whether a submitted job is a service.
+func (c *Checker) IsService(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	return j != nil && j.spec.Kind == wire.KindService
 }
 
 func (c *Checker) broken(rule Rule, format string, args ...any) {
@@ -170,7 +179,7 @@
 	j.on[index] = m
 	c.quota(j.spec.Team)
 	if j.final == wire.JobAborted {
-		c.lateStarts++
+		c.lateStarts = append(c.lateStarts, fmt.Sprintf("%s on %s, %v after its job was cancelled", task, m.ID, time.Since(j.finalAt)))
 		if time.Since(j.finalAt) > c.cfg.Cancellation {
 			c.broken(RanCancelled, "%s starts %v after its job was cancelled", task, time.Since(j.finalAt))
 		}
--- a/internal/protocoltest/checker_test.go
+++ b/internal/protocoltest/checker_test.go
@@ -146,8 +146,8 @@
 		c := newCourse()
 		c.cancelled()
 		c.Started(machine("i-1", "x"), jobID+"/0")
-		if c.LateStarts() != 1 || len(c.Violations()) != 0 {
-			t.Fatalf("%d late starts, broken %v", c.LateStarts(), c.Violations())
+		if len(c.LateStarts()) != 1 || len(c.Violations()) != 0 {
+			t.Fatalf("late starts %v, broken %v", c.LateStarts(), c.Violations())
 		}
 	})
 }
--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -130,7 +130,7 @@
 	c.Cloud, c.stopCloud = standin.NewCloudOn(standin.CloudConfig{
 		Network: c.Network, Names: names, Controllers: addresses,
 		Types:  []wire.MachineType{{Name: typeName, CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, Price: 1, SpotPrice: 0.5, BootS: options.Boot.Seconds(), Zones: options.Zones}},
-		RunFor: options.RunFor, Lease: options.Lease, ReportEvery: options.ReportEvery, Boot: options.Boot,
+		RunFor: c.runFor, Lease: options.Lease, ReportEvery: options.ReportEvery, Boot: options.Boot,
 		Observer: c.Checker,
 	})
 	for _, n := range c.nodes {
@@ -140,6 +140,15 @@
 	return c
 }
 
+// runFor is how long a task runs: a service's until it is stopped.
+func (c *Cluster) runFor(task string) time.Duration {
+	id, _, _ := wire.ParseTaskID(task)
+	if c.Checker.IsService(id) {
+		return 0
+	}
+	return c.options.RunFor
+}
+
 func (c *Cluster) platform(name string) *config.Platform {
 	p := &config.Platform{Member: name}
 	for i, n := range c.nodes {
--- a/internal/sim/random_test.go
+++ b/internal/sim/random_test.go
@@ -80,7 +80,7 @@
 		if a.Status == 200 {
 			h.lookEverywhere(id)
 		}
-		return a.Status == 200 || a.Status == 404
+		return a.Status == 200
 	})
 }
 
@@ -218,7 +218,10 @@
 		h.UntilStage(h.pick(h.Nodes()), j.ID, stage, 6*time.Minute)
 	}
 	for id := range h.cancelled {
-		h.Until("no task of "+id+" is on a machine", h.options.Cancellation, func() bool { return len(h.On(id)) == 0 || h.Poll("n0", id).Stage() == wire.JobDone })
+		if h.Poll("n0", id).Stage() == wire.JobDone {
+			continue
+		}
+		h.Until("no task of "+id+" is on a machine", h.options.Cancellation, func() bool { return len(h.On(id)) == 0 })
 	}
 }
 
@@ -242,7 +245,10 @@
 					h.step()
 				}
 				h.settle()
-				lateStarts += c.Checker.LateStarts()
+				for _, s := range c.Checker.LateStarts() {
+					lateStarts++
+					t.Log("late start: ", s)
+				}
 			})
 		})
 	}
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -137,3 +137,9 @@
 	c.t.Helper()
 	c.Until(id+" is "+stage+" at "+name, atMost, func() bool { return c.Poll(name, id).Stage() == stage })
 }
+
+// MustCancelOrDone cancels a job, unless it is done already.
+func (c *Cluster) MustCancelOrDone(name, id string) {
+	c.t.Helper()
+	c.Until(id+" is cancelled", time.Minute, func() bool { return c.Cancel(name, id).Status == 200 })
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -28,9 +28,10 @@
 	Names       []string
 	Controllers map[string]string
 	Types       []wire.MachineType
-	// RunFor is how long a task runs, Lease the workers' lease, ReportEvery the
-	// time between two reports.
-	RunFor, Lease, ReportEvery time.Duration
+	// RunFor is how long a task runs; 0 is until it is stopped.
+	RunFor func(task string) time.Duration
+	// Lease is the workers' lease, ReportEvery the time between two reports.
+	Lease, ReportEvery time.Duration
 	// Boot is how long a machine takes to come up.
 	Boot time.Duration
 	// Observer, if not nil, is told of tasks.
@@ -60,7 +61,7 @@
 func NewCloud(names []string, controllers map[string]string, types []wire.MachineType, runFor, lease time.Duration) (*Cloud, func()) {
 	return NewCloudOn(CloudConfig{
 		Network: Loopback{}, Names: names, Controllers: controllers, Types: types,
-		RunFor: runFor, Lease: lease, ReportEvery: 300 * time.Millisecond,
+		RunFor: func(string) time.Duration { return runFor }, Lease: lease, ReportEvery: 300 * time.Millisecond,
 	})
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -185,7 +185,7 @@
 	}
 	for i := range k.report.Tasks {
 		t := &k.report.Tasks[i]
-		if end, ok := k.ends[t.Task]; ok && t.State == wire.TaskRunning && !end.IsZero() && now.After(end) {
+		if end, ok := k.ends[t.Task]; ok && t.State == wire.TaskRunning && now.After(end) {
 			k.exit(t, wire.WhyDone)
 		}
 	}
@@ -244,7 +244,10 @@
 		}
 	}
 	c.starts++
-	k.ends[cmd.Task] = time.Now().Add(c.cfg.RunFor)
+	delete(k.ends, cmd.Task)
+	if runFor := c.cfg.RunFor(cmd.Task); runFor > 0 {
+		k.ends[cmd.Task] = time.Now().Add(runFor)
+	}
 	k.report.Tasks = append(k.report.Tasks, wire.TaskReport{Task: cmd.Task, Attempt: cmd.Attempt, State: wire.TaskRunning})
 	if o := c.cfg.Observer; o != nil {
 		o.Started(k.listed(), cmd.Task)
