--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -49,7 +49,8 @@
 const standOff = 30 * clock.Second
 
 // handOver gives the lead to a controller that the workers do reach: their
-// leases would run out while this one renews its lock. Where all machines fall silent
+// leases would run out while this one renews its lock. So it does where the state
+// service renews the lock but answers no reads. Where all machines fall silent
 // at once it does not wait until another says that it is asked: a worker that has
 // waited for an answer for four seconds, and is then sent back here, is lost with a
 // lease of ten. A leader that has never heard them does not pass the lead on.
@@ -62,6 +63,11 @@
 			able = true
 		}
 	}
+	if able && now-max(l.view.ReadAt(), l.awake) > 2*l.c.ttl() {
+		l.c.log.Info("the state service answers no reads", "for_s", (now - l.view.ReadAt()).Seconds())
+		l.resign(now)
+		return true
+	}
 	if l.hadMost && able && h.none() {
 		l.c.log.Info("no worker is heard any more", "of", h.up)
 		l.resign(now)
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -73,6 +73,59 @@
 	}
 }
 
+// The lock comes back at the end of an outage before the old leader can read what was
+// cancelled meanwhile: it starts nothing until it has read.
+func TestLockIsBackBeforeTheView(t *testing.T) {
+	Run(t, Options{RunFor: long}, func(c *Cluster) {
+		c.MustSubmit("n0", Array(1, 4, "a"))
+		c.UntilOn("req-000001", 4)
+		leader := refuseLeader(c)
+		c.CutFromPeers(leader, true)
+		c.MustCancel(c.Others(leader)[0], "req-000001")
+		c.State.SetDown(true)
+		time.Sleep(c.options.Cancellation + 20*time.Second)
+		c.State.SetFault(leader, standin.ReadsRefused)
+		c.State.SetDown(false)
+		time.Sleep(5 * time.Second)
+		c.State.SetFault(leader, standin.Served)
+		time.Sleep(20 * time.Second)
+		if late := c.Checker.LateStarts(); len(late) > 0 {
+			t.Errorf("started after the cancellation: %v", late)
+		}
+	})
+}
+
+// A leader renews its lock, but is refused every read, and the other controllers
+// can't tell it of cancellations: it answers workers no longer than the tasks may
+// stay. Where others are heard and served, it hands over long before that.
+func TestLeaderThatCannotRead(t *testing.T) {
+	for _, heard := range []bool{false, true} {
+		t.Run(fmt.Sprint("peers heard ", heard), func(t *testing.T) {
+			Run(t, Options{RunFor: long}, func(c *Cluster) {
+				c.MustSubmit("n0", Array(1, 4, "a"))
+				c.MustSubmit("n0", Array(2, 2, "a"))
+				c.UntilOn("req-000001", 4)
+				c.UntilOn("req-000002", 2)
+				leader := c.Leader()
+				c.CutFromPeers(leader, !heard)
+				c.State.SetFault(leader, standin.ReadsRefused)
+				time.Sleep(time.Second)
+				c.MustCancel(c.Others(leader)[0], "req-000001")
+				if heard {
+					c.Until("another leads", 20*time.Second, func() bool { return c.Leader() != "" && c.Leader() != leader })
+				}
+				time.Sleep(c.options.Cancellation + 5*time.Second)
+				if on := c.On("req-000002"); heard && len(on) != 2 {
+					t.Errorf("%d of 2 other tasks run", len(on))
+				}
+				c.CutFromPeers(leader, false)
+				c.State.SetFault(leader, standin.Served)
+				c.UntilOn("req-000002", 2)
+			})
+		})
+	}
+}
+
 // Jobs are cancelled at the very moment at which the leader is refused alone, and a
 // second later the state service is down for longer than the cancellation time.
 func TestCancelledAsTheLeaderIsRefused(t *testing.T) {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -45,6 +45,8 @@
 	Refused
 	// AnswersLost: transactions are carried out, their answers are lost.
 	AnswersLost
+	// ReadsRefused: reads and watches get 503, the rest is served.
+	ReadsRefused
 	// CarriedOutLate: transactions get no answer and are carried out lateBy later.
 	CarriedOutLate
 )
@@ -209,6 +211,8 @@
 		return
 	}
 	switch {
+	case s.faults[caller] == ReadsRefused && (strings.HasPrefix(path, "/kv") || path == "/watch"):
+		reply(w, 503, wire.ErrorBody{Error: "trouble"})
 	case path == "/kv":
 		limit, err := strconv.Atoi(q.Get("limit"))
 		if err != nil || limit > 1000 {
@@ -348,6 +352,10 @@
 				e.Events = append(e.Events, l.event)
 			}
 		}
+		if s.faults[caller] == ReadsRefused {
+			reply(w, 503, wire.ErrorBody{Error: "trouble"})
+			return
+		}
 		refused := s.down || s.faults[caller] == Refused
 		if !refused && (len(e.Events) > 0 || !time.Now().Before(until)) {
 			reply(w, 200, e)
