--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -19,7 +19,7 @@
 				b.StopTimer()
 				l := rebuilt(b)
 				c := l.c
-				h := c.view.hires["h"]
+				h := c.view.rentals["h"]
 				var reports []*wire.Report
 				for i := 0; i < n; i++ {
 					name := fmt.Sprintf("i-%06d", i)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/cloud"
 	"firwood.dev/firwood/internal/config"
+	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/internal/election"
 	"firwood.dev/firwood/internal/ledger"
 	"firwood.dev/firwood/internal/peer"
@@ -21,7 +22,6 @@
 	"firwood.dev/firwood/internal/sockets"
 	"firwood.dev/firwood/internal/staleness"
 	"firwood.dev/firwood/internal/state"
-	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
@@ -58,16 +58,16 @@
 	submitting map[string][]*server.Reply
 	counts     map[string]peer.Count // progress of jobs as the leader last told
 	workers    map[string]clock.Micros
-	// voucher is this member's right to keep leases alive, held   the workers
+	// delegate is this member's right to keep leases alive, held   the workers
 	// that were sent to the leader and may come back, stamps the others' clocks
 	// as last heard.
-	voucher *vouch.Voucher
-	held    map[string]clock.Micros
-	stamps  map[string]vouch.Stamp
-	// mayPromise are zones that this member, when it last led, may have promised
-	// to vouch for nobody in.
-	mayPromise map[string]bool
-	times      vouch.Config
+	delegate *delegation.Delegate
+	held     map[string]clock.Micros
+	stamps   map[string]delegation.Stamp
+	// unsettledPromises are zones that this member, when it last led, may have promised
+	// to answer nobody as delegate in.
+	unsettledPromises map[string]bool
+	times             delegation.Config
 	// staleness bounds what a leader may do on an old view.
 	staleness staleness.Bounds
 	// withdrawals are recent ones that other members may have to be told of.
@@ -111,7 +111,7 @@
 		counts:     map[string]peer.Count{},
 		workers:    map[string]clock.Micros{},
 		held:       map[string]clock.Micros{},
-		stamps:     map[string]vouch.Stamp{},
+		stamps:     map[string]delegation.Stamp{},
 		asked:      map[string]asked{},
 	}
 	c.toWorkers = client.NewPool(dial, c.sockets)
@@ -125,10 +125,10 @@
 		try = clock.Second
 	}
 	trip := clock.FromSeconds(1.25*w.ReportS) + clock.Second/2 + clock.Micros(len(cfg.Others))*try
-	c.times = vouch.Times(clock.FromSeconds(w.CancelS), clock.FromSeconds(w.LeaseS), 3*beatEvery, trip)
+	c.times = delegation.Times(clock.FromSeconds(w.CancelS), clock.FromSeconds(w.LeaseS), 3*beatEvery, trip)
 	c.staleness = staleness.ForWorkers(clock.FromSeconds(w.CancelS), clock.FromSeconds(w.LeaseS), ttl)
 	c.withdrawals = newWithdrawalLog(clock.FromSeconds(w.CancelS))
-	c.voucher = vouch.NewVoucher(c.times, uint64(clock.Wall()), clock.Now())
+	c.delegate = delegation.NewDelegate(c.times, uint64(clock.Wall()), clock.Now())
 	for _, t := range d.Teams {
 		g := ledger.FromAmounts(t.CPUs, t.GPUs, 0)
 		m := ledger.FromAmounts(t.CPUsMax, t.GPUsMax, 0)
@@ -357,7 +357,7 @@
 		return
 	}
 	c.log.Info("lead given up", "why", why, "token", c.lead.token)
-	c.voucher.Led(c.lead.lg.Issued(), c.lead.knewAt)
+	c.delegate.Led(c.lead.lg.Issued(), c.lead.knewAt)
 	c.lead.close()
 	c.lead = nil
 	c.rebuilding = false
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -98,7 +98,7 @@
 // confirm renews the rights of the others to keep leases alive: the stamps that
 // have come so far are echoed once the view is known to be newer than them, and
 // only while no withdrawn job is taking long to go. So what a withdrawal leaves
-// behind in a zone that is cut off ends in time; see vouch.Config.
+// behind in a zone that is cut off ends in time; see delegation.Config.
 func (l *lead) confirm(now clock.Micros, then func()) {
 	stamps := maps.Clone(l.c.stamps)
 	l.c.view.wantSync(func(err error) {
@@ -117,7 +117,7 @@
 		}
 		l.knewAt = now
 		for m, s := range stamps {
-			if !l.keeper.Member(m) {
+			if !l.promises.Member(m) {
 				l.echoes[m] = s
 				l.bound.Echoed(m, now)
 			}
@@ -147,7 +147,7 @@
 	if l.handOver(all, now) {
 		return
 	}
-	l.leaveWord(now)
+	l.updatePromises(now)
 	for z, h := range zones {
 		if !h.mostly() {
 			l.deafAt[z] = now
@@ -200,10 +200,10 @@
 		}
 	}
 	// A machine that no record names comes from a request that was carried
-	// out late. It has no tasks; it is returned once no hire is open that it
+	// out late. It has no tasks; it is returned once no rental is open that it
 	// might belong to.
 	open := false
-	for _, h := range l.hires {
+	for _, h := range l.rentals {
 		open = open || !h.resolved
 	}
 	for n, at := range l.unknown {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -9,11 +9,11 @@
 
 	"firwood.dev/firwood/internal/client"
 	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/internal/ledger"
 	"firwood.dev/firwood/internal/planner"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/internal/staleness"
-	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
@@ -44,7 +44,7 @@
 	// deafAt is when a zone was last not mostly heard.
 	deafAt map[string]clock.Micros
 
-	hires    map[string]*hire
+	rentals  map[string]*rental
 	machines map[string]*machineAux
 	jobs     map[string]*jobAux
 	// gone are machines that the cloud has deleted for us; late reports of
@@ -65,17 +65,17 @@
 	deletes    []string
 	deleteBusy bool
 	deleteAt   clock.Micros
-	// bound tells until when others may have vouched for workers, echoes are the
+	// bound tells until when others may have answered as delegates for workers, echoes are the
 	// stamps that give them the right to, knewAt is the last instant before which
 	// every withdrawal is known here.
-	bound  *vouch.Bound
-	echoes map[string]vouch.Stamp
+	bound  *delegation.Grants
+	echoes map[string]delegation.Stamp
 	knewAt clock.Micros
 	// keeper holds what is promised to leaders to come, opening the zones about
 	// which that is being taken back, held the reports that wait for it.
-	keeper  *vouch.Keeper
-	opening map[string]bool
-	held    []waiting
+	promises *delegation.PromiseTracker
+	opening  map[string]bool
+	held     []waiting
 
 	// raiseAt is when the token that was issued last is used, raisedAt when the
 	// one before was issued.
@@ -89,7 +89,7 @@
 
 // machineAux is what the ledger need not know of a machine.
 type machineAux struct {
-	hire     *hire
+	rental   *rental
 	host     *client.Host
 	notUntil clock.Micros // no direct messages before this instant
 	deleting bool
@@ -120,7 +120,7 @@
 	d := &c.cfg.Deployment
 	l := &lead{
 		c: c, token: token, since: now, awake: now, dirty: true,
-		hires: map[string]*hire{}, machines: map[string]*machineAux{}, jobs: map[string]*jobAux{},
+		rentals: map[string]*rental{}, machines: map[string]*machineAux{}, jobs: map[string]*jobAux{},
 		deafAt: map[string]clock.Micros{},
 		gone:   map[string]clock.Micros{}, unknown: map[string]clock.Micros{},
 		view: staleness.NewTracker(c.staleness, readAt),
@@ -162,20 +162,20 @@
 	for _, o := range c.cfg.Others {
 		others = append(others, o.Member)
 	}
-	l.bound, l.echoes = vouch.NewBound(c.times, now, c.voucher.QuietFor(now), others), map[string]vouch.Stamp{}
-	l.keeper, l.opening = vouch.NewKeeper(c.view.word, c.view.wordVersion), map[string]bool{}
+	l.bound, l.echoes = delegation.NewGrants(c.times, now, c.delegate.QuietFor(now), others), map[string]delegation.Stamp{}
+	l.promises, l.opening = delegation.NewPromiseTracker(c.view.promises, c.view.promisesVersion), map[string]bool{}
 
 	wall := clock.Wall()
-	for name, rec := range c.view.hires {
-		h := &hire{name: name, rec: *rec, version: rec.version, at: now - max(wall-clock.Micros(rec.At), 0), resolved: rec.Resolved}
-		l.hires[name] = h
+	for name, rec := range c.view.rentals {
+		h := &rental{name: name, rec: *rec, version: rec.version, at: now - max(wall-clock.Micros(rec.At), 0), resolved: rec.Resolved}
+		l.rentals[name] = h
 		for _, m := range rec.Machines {
 			l.addMachine(h, m).Recorded = true
 		}
 		if !rec.Resolved {
 			// Whether it was carried out is not known. The same name gets the
 			// same answer, so asking again settles it.
-			l.sendHire(h)
+			l.sendRental(h)
 		}
 	}
 	for id, rec := range c.view.jobs {
@@ -189,7 +189,7 @@
 		}
 	}
 	l.relearn(now, wall)
-	l.heed(now)
+	l.adoptPromises(now)
 	l.bounds(now)
 	l.lg.Settle()
 	l.goOn(now)
@@ -223,12 +223,12 @@
 	return j
 }
 
-func (l *lead) addMachine(h *hire, name string) *ledger.Machine {
+func (l *lead) addMachine(h *rental, name string) *ledger.Machine {
 	now := clock.Now()
 	m := l.lg.AddMachine(name, h.rec.Type, h.rec.Zone, h.rec.Spot, l.pl.Size(h.rec.Type), now)
 	m.Since = h.at
 	if l.machines[name] == nil {
-		l.machines[name] = &machineAux{hire: h}
+		l.machines[name] = &machineAux{rental: h}
 	}
 	return m
 }
@@ -307,7 +307,7 @@
 	l.closed = true
 	l.deadline.Store(0)
 	l.startDeadline.Store(0)
-	l.c.mayPromise = l.keeper.Zones()
+	l.c.unsettledPromises = l.promises.Zones()
 	for _, h := range l.held {
 		later(h.r, "the lead is over")
 	}
@@ -494,7 +494,7 @@
 
 func (l *lead) plan(now clock.Micros) {
 	var pending []planner.Hire
-	for _, h := range l.hires {
+	for _, h := range l.rentals {
 		if !h.resolved {
 			pending = append(pending, planner.Hire{
 				Pool: planner.Pool{Type: h.rec.Type, Zone: h.rec.Zone, Spot: h.rec.Spot}, Count: h.rec.Count,
@@ -509,7 +509,7 @@
 	for _, r := range d.Rent {
 		// Few at a time: the cloud takes few requests a second, and what is
 		// asked for next should rest on how these were answered.
-		if len(pending) >= l.hiresAtOnce() {
+		if len(pending) >= l.rentalsAtOnce() {
 			break
 		}
 		pending = append(pending, planner.Hire{})
--- a/internal/core/lead_test.go
+++ b/internal/core/lead_test.go
@@ -9,9 +9,9 @@
 	"firwood.dev/firwood/internal/client"
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/config"
+	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/internal/peer"
 	"firwood.dev/firwood/internal/server"
-	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
@@ -52,7 +52,7 @@
 	d.Limits = config.Limits{Cores: 1, RAMMB: 100, MaxSockets: 1000}
 	c := New(cfg, config.DefaultTuning(), slog.New(slog.DiscardHandler), client.DialTCP)
 	c.types = []wire.MachineType{{Name: "big", CPUs: 16, MemoryGB: 64, Price: 1, BootS: 15, Zones: d.Zones}}
-	c.view.hires["h"] = &hireRecord{Type: "big", Zone: "x", Count: len(machines), At: int64(clock.Wall() - 300*clock.Second), Resolved: true, Machines: machines}
+	c.view.rentals["h"] = &rentalRecord{Type: "big", Zone: "x", Count: len(machines), At: int64(clock.Wall() - 300*clock.Second), Resolved: true, Machines: machines}
 	return newLead(c, 9, clock.Now())
 }
 
@@ -76,41 +76,41 @@
 // answersEither tells whether the member answers one of two reports in a row: a
 // worker is sent on after each answer, so one report alone would not show it.
 func answersEither(c *Core, rep *wire.Report, now clock.Micros) bool {
-	first := c.vouchFor(rep, &server.Reply{}, now)
-	second := c.vouchFor(rep, &server.Reply{}, now)
+	first := c.answerAsDelegate(rep, &server.Reply{}, now)
+	second := c.answerAsDelegate(rep, &server.Reply{}, now)
 	return first || second
 }
 
 // A follower that hears neither leader nor state service keeps a worker's lease
 // alive at once, and sends it on after each answer; not at all while the leader is
 // heard: a worker that reaches the leader is not held.
-func TestVouchingSendsOn(t *testing.T) {
+func TestDelegateSendsOn(t *testing.T) {
 	l := rebuilt(t)
 	c := l.c
 	c.lead, c.view.loaded = nil, true
 	now, back := 100*clock.Second, 5*clock.Second
 	rep := &wire.Report{Machine: "i-1", Token: 5}
-	c.voucher = vouch.NewVoucher(c.times, 1, now-60*clock.Second)
+	c.delegate = delegation.NewDelegate(c.times, 1, now-60*clock.Second)
 	if answersEither(c, rep, now) {
-		t.Fatal("vouches without a right")
+		t.Fatal("answers as delegate without a right")
 	}
-	c.voucher.Hear(now-back, 5, c.voucher.Stamp(now-back))
+	c.delegate.Hear(now-back, 5, c.delegate.Stamp(now-back))
 	for i, want := range []bool{true, false, true, false} {
-		if got := c.vouchFor(rep, &server.Reply{}, now); got != want {
-			t.Fatalf("report %d: vouched %v", i, got)
+		if got := c.answerAsDelegate(rep, &server.Reply{}, now); got != want {
+			t.Fatalf("report %d: answered as delegate %v", i, got)
 		}
 	}
-	if c.vouchFor(&wire.Report{Machine: "i-1", Token: 6}, &server.Reply{}, now) {
-		t.Fatal("vouches against a newer leader")
+	if c.answerAsDelegate(&wire.Report{Machine: "i-1", Token: 6}, &server.Reply{}, now) {
+		t.Fatal("answers as delegate against a newer leader")
 	}
-	c.voucher.Hear(now, 5, c.voucher.Stamp(now))
+	c.delegate.Hear(now, 5, c.delegate.Stamp(now))
 	if answersEither(c, rep, now) {
 		t.Fatal("holds a worker while the leader is heard")
 	}
 }
 
 // What was silent while this process stood still is not taken for silent: nothing
-// is deleted, no word is left and the lead is not given away for it.
+// is deleted, nothing is promised and the lead is not given away for it.
 func TestStandstill(t *testing.T) {
 	l := rebuilt(t, "i-1", "i-2", "i-3", "i-4")
 	l.deadline.Store(1 << 62)
@@ -127,8 +127,8 @@
 	c.beats["b"] = &beatSeen{beat: &peer.Beat{Member: "b", Served: true, Workers: 4}, at: now}
 	l.woke(now)
 	l.watchMachines(now)
-	if len(l.deletes) != 0 || len(l.keeper.Zones()) != 0 || l.closed {
-		t.Fatalf("after a standstill: deletes %v, word of %v, lead given up %v", l.deletes, l.keeper.Zones(), l.closed)
+	if len(l.deletes) != 0 || len(l.promises.Zones()) != 0 || l.closed {
+		t.Fatalf("after a standstill: deletes %v, promises about %v, lead given up %v", l.deletes, l.promises.Zones(), l.closed)
 	}
 	if l.pl.Awake != now {
 		t.Fatal("the planner takes machines for silent")
--- a/internal/core/learnt.go
+++ b/internal/core/learnt.go
@@ -33,7 +33,7 @@
 	for _, h := range b.Holdings {
 		c.learnt.holdings[h.Machine] = holding{h, now}
 	}
-	if len(c.learnt.holdings) > 2*len(c.view.hires)*peer.MaxHoldings {
+	if len(c.learnt.holdings) > 2*len(c.view.rentals)*peer.MaxHoldings {
 		maps.DeleteFunc(c.learnt.holdings, func(_ string, h holding) bool { return now-h.at > holdingFor })
 	}
 	if len(b.RunTimes) > 0 {
--- a/internal/core/outage_test.go
+++ b/internal/core/outage_test.go
@@ -45,16 +45,16 @@
 	now := 100 * clock.Second
 	rep := &wire.Report{Machine: "i-1", Zone: "x", Token: 9}
 	if answersEither(c, rep, now) {
-		t.Fatal("vouches though it never knew of all withdrawals")
+		t.Fatal("answers as delegate though it never knew of all withdrawals")
 	}
 	l.knewAt = now
 	end := now + c.times.For
 	var last, longest clock.Micros
 	// The worker reports, is sent on, and comes back after a round of the others.
 	for at := now; at < end+lease; {
-		if c.vouchFor(rep, &server.Reply{}, at) {
+		if c.answerAsDelegate(rep, &server.Reply{}, at) {
 			if at >= end {
-				t.Fatalf("vouches %d us after its right has ended", at-end)
+				t.Fatalf("answers as delegate %d us after its right has ended", at-end)
 			}
 			if last != 0 {
 				longest = max(longest, at-last)
@@ -71,8 +71,8 @@
 	if longest >= lease/2 || last < end-lease/2 {
 		t.Fatalf("answers lie up to %d us apart, the last %d us before the end", longest, end-last)
 	}
-	c.voucher.Hear(now, 10, c.voucher.Stamp(now)) // a newer leader is there
+	c.delegate.Hear(now, 10, c.delegate.Stamp(now)) // a newer leader is there
 	if answersEither(c, rep, now) {
-		t.Fatal("vouches while a newer leader is heard")
+		t.Fatal("answers as delegate while a newer leader is heard")
 	}
 }
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -92,7 +92,7 @@
 	}
 	if rep != nil {
 		p.misses, p.answered = 0, now
-		if l.keeper.Zone(m.Zone) {
+		if l.promises.Zone(m.Zone) {
 			l.opening[m.Zone] = true // its zone is back
 		}
 		if l.lg.DirectReport(m, rep, now) == ledger.Deposed {
--- a/internal/core/word.go
+++ b/internal/core/promises.go
@@ -5,23 +5,23 @@
 	"slices"
 
 	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/internal/state"
-	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
 // What a leader leaves word of: zones that are silent, members that are not
-// heard. See vouch.Word.
+// heard. See delegation.Promises.
 
-func (c *Core) seenWord(w vouch.Word, version uint64) {
-	if version <= c.view.wordVersion {
+func (c *Core) seenPromises(w delegation.Promises, version uint64) {
+	if version <= c.view.promisesVersion {
 		return
 	}
-	c.view.word, c.view.wordVersion = w, version
-	c.mayPromise = nil
+	c.view.promises, c.view.promisesVersion = w, version
+	c.unsettledPromises = nil
 	if c.lead != nil {
-		c.lead.keeper.Seen(w, version)
+		c.lead.promises.Seen(w, version)
 	}
 }
 
@@ -36,9 +36,9 @@
 	return now - (clock.Wall() - wall) + c.clockError()
 }
 
-// heed takes over what earlier leaders have left word of.
-func (l *lead) heed(now clock.Micros) {
-	w, _ := l.keeper.Word()
+// adoptPromises takes over what earlier leaders have promised.
+func (l *lead) adoptPromises(now clock.Micros) {
+	w, _ := l.promises.Current()
 	for _, m := range l.lg.Machines {
 		if z, ok := w.Zones[m.Zone]; ok {
 			l.lg.LastHeardBy(m, l.c.notBefore(now, z.At))
@@ -49,23 +49,23 @@
 	}
 }
 
-// bounds tells the ledger until when others may have vouched.
+// bounds tells the ledger until when others may have answered as delegates.
 func (l *lead) bounds(now clock.Micros) {
-	w, _ := l.keeper.Word()
+	w, _ := l.promises.Current()
 	zones := map[string]clock.Micros{}
 	for z, p := range w.Zones {
 		zones[z] = l.bound.LatestBut(now, l.c.cfg.Member, p.By)
 	}
-	l.lg.Vouched(l.bound.Latest(now), zones)
+	l.lg.Answered(l.bound.Latest(now), zones)
 }
 
-// leaveWord writes what has changed about who is heard. A zone of which no
+// updatePromises writes what has changed about who is heard. A zone of which no
 // machine is heard gets no answers from now on, and a member that is not heard no
-// rights, until the word is taken back: a new leader, who has never heard either,
+// rights, until the promise is taken back: a new leader, who has never heard either,
 // then knows when the leases there end.
-func (l *lead) leaveWord(now clock.Micros) {
-	old, _ := l.keeper.Word()
-	w := vouch.Word{Zones: map[string]vouch.ZoneWord{}, Members: map[string]clock.Micros{}}
+func (l *lead) updatePromises(now clock.Micros) {
+	old, _ := l.promises.Current()
+	w := delegation.Promises{Zones: map[string]delegation.ZonePromise{}, Members: map[string]clock.Micros{}}
 	wall := func(at clock.Micros) clock.Micros { return clock.Wall() - (now - at) }
 	for z, s := range l.zones(now) {
 		p, ok := old.Zones[z]
@@ -73,7 +73,7 @@
 		case l.opening[z] || !ok && (s.heard || !s.up):
 			continue
 		case !ok:
-			p = vouch.ZoneWord{At: wall(max(s.last, l.bound.Own())), By: []string{l.c.cfg.Member}}
+			p = delegation.ZonePromise{At: wall(max(s.last, l.bound.Own())), By: []string{l.c.cfg.Member}}
 		case !slices.Contains(p.By, l.c.cfg.Member):
 			p.At = max(p.At, wall(l.bound.Own()))
 			p.By = append(slices.Clone(p.By), l.c.cfg.Member)
@@ -93,8 +93,8 @@
 		}
 		w.Members[o.Member] = end
 	}
-	if !w.Equal(old) || !l.keeper.Settled() {
-		l.writeWord(w)
+	if !w.Equal(old) || !l.promises.Settled() {
+		l.writePromises(w)
 	}
 }
 
@@ -124,30 +124,30 @@
 	return out
 }
 
-func (l *lead) writeWord(w vouch.Word) {
-	v, err := wordRecord{Word: w}.MarshalJSON()
+func (l *lead) writePromises(w delegation.Promises) {
+	v, err := promisesRecord{Word: w}.MarshalJSON()
 	if err != nil || len(v) > int(l.c.cfg.Deployment.State.ValueKB*1024) {
-		l.c.dropped("what is to be left word of is too large for the state service", "bytes", len(v))
+		l.c.dropped("what is to be promised is too large for the state service", "bytes", len(v))
 		return
 	}
-	version, ok := l.keeper.Write(w)
+	version, ok := l.promises.Write(w)
 	if !ok {
 		return
 	}
 	l.writeRev(&state.Write{
 		Rank: state.Vital,
-		If:   []wire.Condition{{Key: keyWord, Version: version}},
-		Then: []wire.Change{{Put: keyWord, Value: v}},
+		If:   []wire.Condition{{Key: keyPromises, Version: version}},
+		Then: []wire.Change{{Put: keyPromises, Value: v}},
 	}, func(o state.Outcome, rev uint64) {
 		switch o {
 		case state.Committed:
-			l.keeper.Committed(rev)
-			l.c.seenWord(w, rev)
-			l.c.log.Info("word left of who is not heard", "zones", slices.Sorted(maps.Keys(w.Zones)), "members", slices.Sorted(maps.Keys(w.Members)))
+			l.promises.Committed(rev)
+			l.c.seenPromises(w, rev)
+			l.c.log.Info("promises written", "zones", slices.Sorted(maps.Keys(w.Zones)), "members", slices.Sorted(maps.Keys(w.Members)))
 		case state.Unknown:
-			l.keeper.Open()
+			l.promises.Open()
 		default:
-			l.keeper.Refused()
+			l.promises.Refused()
 		}
 		l.opened()
 		switch {
@@ -155,7 +155,7 @@
 			// The view tells the version by the time of the next look.
 			l.c.view.wantSync(func(error) {}, clock.Now()+2*clock.Second)
 		case len(l.opening) > 0:
-			l.leaveWord(clock.Now())
+			l.updatePromises(clock.Now())
 		}
 	})
 }
@@ -167,7 +167,7 @@
 	at  clock.Micros
 }
 
-// mustWait tells whether a report has to wait until the word about its zone is
+// mustWait tells whether a report has to wait until the promise about its zone is
 // taken back, and takes care of that.
 func (l *lead) mustWait(rep *wire.Report, r *server.Reply, now clock.Micros) bool {
 	if !l.view.MayRenew(now) {
@@ -176,7 +176,7 @@
 		l.read(now)
 		return true
 	}
-	if !l.keeper.Zone(rep.Zone) {
+	if !l.promises.Zone(rep.Zone) {
 		return false
 	}
 	if m := l.lg.Machines[rep.Machine]; m != nil && !rep.Newer(m.Session, m.Seq) {
@@ -186,7 +186,7 @@
 	l.held = append(l.held, waiting{rep, r, now})
 	if !l.opening[rep.Zone] {
 		l.opening[rep.Zone] = true
-		l.leaveWord(now)
+		l.updatePromises(now)
 	}
 	return true
 }
@@ -199,7 +199,7 @@
 	l.held = nil
 	for _, h := range held {
 		switch {
-		case !l.keeper.Zone(h.rep.Zone) && l.view.MayRenew(now):
+		case !l.promises.Zone(h.rep.Zone) && l.view.MayRenew(now):
 			l.checkin(h.rep, h.r)
 		case now-h.at > clock.Second:
 			later(h.r, "the state service does not answer")
@@ -208,18 +208,18 @@
 		}
 	}
 	for z := range l.opening {
-		if !l.keeper.Zone(z) {
+		if !l.promises.Zone(z) {
 			delete(l.opening, z)
 		}
 	}
 }
 
-// promised tells whether this member has, or may have, promised to vouch for nobody
+// promised tells whether this member has, or may have, promised to answer nobody as delegate
 // in a zone. A member that has not may: a leader that hears nobody of a zone may
 // itself be the one that is cut off from it.
 func (c *Core) promised(zone string) bool {
-	if c.lead != nil && c.lead.keeper.Zone(zone) || c.mayPromise[zone] {
+	if c.lead != nil && c.lead.promises.Zone(zone) || c.unsettledPromises[zone] {
 		return true
 	}
-	return slices.Contains(c.view.word.Zones[zone].By, c.cfg.Member)
+	return slices.Contains(c.view.promises.Zones[zone].By, c.cfg.Member)
 }
--- a/internal/core/word_test.go
+++ b/internal/core/promises_test.go
@@ -4,42 +4,42 @@
 	"testing"
 
 	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/internal/ledger"
 	"firwood.dev/firwood/internal/server"
-	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
-// A new leader that finds word of a silent zone reckons its leases from the last
+// A new leader that finds a promise about a silent zone reckons its leases from the last
 // answer there, not from its own beginning; it answers nobody there before the
-// word is taken back, and vouches for nobody there when it leads no more.
+// promise is taken back, and answers nobody as delegate there when it leads no more.
 func TestWordOfASilentZone(t *testing.T) {
 	l := rebuilt(t, "i-1", "i-2")
 	c := l.c
 	plain := l.lg.LeaseEnd(l.lg.Machines["i-1"])
 	ago := 20 * clock.Second
-	c.view.word = vouch.Word{
-		Zones:   map[string]vouch.ZoneWord{"x": {At: clock.Wall() - ago, By: []string{"a"}}},
+	c.view.promises = delegation.Promises{
+		Zones:   map[string]delegation.ZonePromise{"x": {At: clock.Wall() - ago, By: []string{"a"}}},
 		Members: map[string]clock.Micros{"b": clock.Wall() - ago},
 	}
-	c.view.wordVersion = 8
+	c.view.promisesVersion = 8
 	l = newLead(c, 10, clock.Now())
 	l.deadline.Store(1 << 62)
 	m := l.lg.Machines["i-1"]
 	if early := plain - l.lg.LeaseEnd(m); early < ago {
-		t.Fatalf("the lease ends only %d us sooner than without the word", early)
+		t.Fatalf("the lease ends only %d us sooner than without the promise", early)
 	}
 	l.checkin(&wire.Report{Machine: "i-1", Zone: "x", Session: 1, Seq: 5, Token: 10}, &server.Reply{})
 	if len(l.held) != 1 || m.Heard != 0 {
 		t.Fatal("a report is answered though it is promised that none is")
 	}
 	// It is being taken back; nothing goes out before that is durable.
-	w, _ := l.keeper.Word()
-	if !l.keeper.Zone("x") || l.keeper.Settled() || len(w.Zones) != 1 {
-		t.Fatal("the word is not being taken back, or counts as taken back already")
+	w, _ := l.promises.Current()
+	if !l.promises.Zone("x") || l.promises.Settled() || len(w.Zones) != 1 {
+		t.Fatal("the promise is not being taken back, or counts as taken back already")
 	}
-	l.keeper.Committed(9)
-	c.view.word, c.view.wordVersion = vouch.Word{}, 9
+	l.promises.Committed(9)
+	c.view.promises, c.view.promisesVersion = delegation.Promises{}, 9
 	l.opened()
 	if len(l.held) != 0 || m.Heard == 0 {
 		t.Fatal("the report that waited is not taken")
@@ -48,21 +48,21 @@
 		t.Fatal("a machine that was answered has its lease counted from before that")
 	}
 	// Word of a zone outlives the leader, with this member among those who know.
-	l.keeper.Seen(vouch.Word{Zones: map[string]vouch.ZoneWord{"y": {By: []string{"a", "b"}}, "z": {By: []string{"b"}}}}, 20)
+	l.promises.Seen(delegation.Promises{Zones: map[string]delegation.ZonePromise{"y": {By: []string{"a", "b"}}, "z": {By: []string{"b"}}}}, 20)
 	l.close()
 	c.lead = nil
 	c.view.loaded = true
 	if !c.promised("y") || c.promised("x") {
 		t.Fatal("a promise is forgotten with the lead")
 	}
-	// One who has not promised anything is free to vouch.
-	c.mayPromise, c.view.word = nil, vouch.Word{Zones: map[string]vouch.ZoneWord{"z": {By: []string{"b"}}}}
+	// One who has not promised anything is free to delegation.
+	c.unsettledPromises, c.view.promises = nil, delegation.Promises{Zones: map[string]delegation.ZonePromise{"z": {By: []string{"b"}}}}
 	if c.promised("z") {
 		t.Fatal("bound by another member's promise")
 	}
 }
 
-// The zone of which nobody is heard is left word of, once; one with a machine that
+// The zone of which nobody is heard is promised, once; one with a machine that
 // is heard is not, nor one that has none but machines that boot.
 func TestSilentZonesAreLeftWordOf(t *testing.T) {
 	l := rebuilt(t, "i-1", "i-2")
@@ -73,14 +73,14 @@
 	y := add("i-9", "y")
 	y.Since = l.since + clock.Second // rented by this leader, boots
 	now := l.since + l.freshFor() + clock.Second
-	l.leaveWord(now)
-	if !l.keeper.Zone("x") || l.keeper.Zone("y") {
-		t.Fatalf("promised about %v", l.keeper.Zones())
+	l.updatePromises(now)
+	if !l.promises.Zone("x") || l.promises.Zone("y") {
+		t.Fatalf("promised about %v", l.promises.Zones())
 	}
-	l.keeper.Refused()
+	l.promises.Refused()
 	l.lg.Machines["i-2"].Heard = now
-	l.leaveWord(now)
-	if l.keeper.Zone("x") {
-		t.Fatal("word left of a zone that is heard")
+	l.updatePromises(now)
+	if l.promises.Zone("x") {
+		t.Fatal("a promise about a zone that is heard")
 	}
 }
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"firwood.dev/firwood/internal/clock"
-	"firwood.dev/firwood/internal/vouch"
+	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/wire"
 )
 
@@ -15,14 +15,14 @@
 // The layout of the state service. Everything lies under one prefix, so that
 // one watch sees every change in the order of revisions.
 const (
-	prefix     = "firwood/"
-	keyLock    = prefix + "lead"
-	keyTypes   = prefix + "types"
-	keyWord    = prefix + "word"
-	keyToken   = prefix + "token"
-	prefixJob  = prefix + "job/"
-	prefixDone = prefix + "done/"
-	prefixHire = prefix + "hire/"
+	prefix       = "firwood/"
+	keyLock      = prefix + "lead"
+	keyTypes     = prefix + "types"
+	keyPromises  = prefix + "word"
+	keyToken     = prefix + "token"
+	prefixJob    = prefix + "job/"
+	prefixDone   = prefix + "done/"
+	prefixRental = prefix + "hire/"
 	// prefixAsked is followed by a member.
 	prefixAsked = prefix + "asked/"
 	mostChunk   = 32768 // tasks in one progress key, at most: 4 KiB of bits
@@ -67,9 +67,9 @@
 
 func (r *jobRecord) over() bool { return r.State != "" }
 
-// hireRecord is the value of a hire's key. It is written before the request
+// rentalRecord is the value of a rental's key. It is written before the request
 // goes out, and again with the names that came back.
-type hireRecord struct {
+type rentalRecord struct {
 	Type     string   `json:"t"`
 	Zone     string   `json:"z"`
 	Spot     bool     `json:"s,omitempty"`
@@ -81,9 +81,9 @@
 	version uint64
 }
 
-// wordRecord is the value of the key for what a leader leaves word of.
-type wordRecord struct {
-	Word vouch.Word `json:"w"`
+// promisesRecord is the value of the key for what a leader leaves word of.
+type promisesRecord struct {
+	Word delegation.Promises `json:"w"`
 }
 
 // askedRecord is how many workers ask a member.
--- a/internal/core/records_easyjson.go
+++ b/internal/core/records_easyjson.go
@@ -5,7 +5,7 @@
 import (
 	json "encoding/json"
 	clock "firwood.dev/firwood/internal/clock"
-	_vouch "firwood.dev/firwood/internal/vouch"
+	_delegation "firwood.dev/firwood/internal/delegation"
 	wire "firwood.dev/firwood/wire"
 	easyjson "github.com/mailru/easyjson"
 	jlexer "github.com/mailru/easyjson/jlexer"
@@ -20,7 +20,7 @@
 	_ easyjson.Marshaler
 )
 
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(in *jlexer.Lexer, out *wordRecord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(in *jlexer.Lexer, out *promisesRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -35,7 +35,7 @@
 		in.WantColon()
 		switch key {
 		case "w":
-			easyjsonAf922c28DecodeFirwoodDevFirwoodInternalVouch(in, &out.Word)
+			easyjsonAf922c28DecodeFirwoodDevFirwoodInternalDelegation(in, &out.Word)
 		default:
 			in.SkipRecursive()
 		}
@@ -46,42 +46,42 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(out *jwriter.Writer, in wordRecord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(out *jwriter.Writer, in promisesRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
 	{
 		const prefix string = ",\"w\":"
 		out.RawString(prefix[1:])
-		easyjsonAf922c28EncodeFirwoodDevFirwoodInternalVouch(out, in.Word)
+		easyjsonAf922c28EncodeFirwoodDevFirwoodInternalDelegation(out, in.Word)
 	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
-func (v wordRecord) MarshalJSON() ([]byte, error) {
+func (v promisesRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
 	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
-func (v wordRecord) MarshalEasyJSON(w *jwriter.Writer) {
+func (v promisesRecord) MarshalEasyJSON(w *jwriter.Writer) {
 	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
-func (v *wordRecord) UnmarshalJSON(data []byte) error {
+func (v *promisesRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
 	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
-func (v *wordRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
+func (v *promisesRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(l, v)
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalVouch(in *jlexer.Lexer, out *_vouch.Word) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalDelegation(in *jlexer.Lexer, out *_delegation.Promises) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -101,15 +101,15 @@
 			} else {
 				in.Delim('{')
 				if !in.IsDelim('}') {
-					out.Zones = make(map[string]_vouch.ZoneWord)
+					out.Zones = make(map[string]_delegation.ZonePromise)
 				} else {
 					out.Zones = nil
 				}
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v1 _vouch.ZoneWord
-					easyjsonAf922c28DecodeFirwoodDevFirwoodInternalVouch1(in, &v1)
+					var v1 _delegation.ZonePromise
+					easyjsonAf922c28DecodeFirwoodDevFirwoodInternalDelegation1(in, &v1)
 					(out.Zones)[key] = v1
 					in.WantComma()
 				}
@@ -149,7 +149,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalVouch(out *jwriter.Writer, in _vouch.Word) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalDelegation(out *jwriter.Writer, in _delegation.Promises) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -168,7 +168,7 @@
 				}
 				out.String(string(v3Name))
 				out.RawByte(':')
-				easyjsonAf922c28EncodeFirwoodDevFirwoodInternalVouch1(out, v3Value)
+				easyjsonAf922c28EncodeFirwoodDevFirwoodInternalDelegation1(out, v3Value)
 			}
 			out.RawByte('}')
 		}
@@ -199,7 +199,7 @@
 	}
 	out.RawByte('}')
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalVouch1(in *jlexer.Lexer, out *_vouch.ZoneWord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalDelegation1(in *jlexer.Lexer, out *_delegation.ZonePromise) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -256,7 +256,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalVouch1(out *jwriter.Writer, in _vouch.ZoneWord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalDelegation1(out *jwriter.Writer, in _delegation.ZonePromise) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -535,7 +535,7 @@
 func (v *jobRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(l, v)
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(in *jlexer.Lexer, out *hireRecord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(in *jlexer.Lexer, out *rentalRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -622,7 +622,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(out *jwriter.Writer, in hireRecord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(out *jwriter.Writer, in rentalRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -674,26 +674,26 @@
 }
 
 // MarshalJSON supports json.Marshaler interface
-func (v hireRecord) MarshalJSON() ([]byte, error) {
+func (v rentalRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
 	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
-func (v hireRecord) MarshalEasyJSON(w *jwriter.Writer) {
+func (v rentalRecord) MarshalEasyJSON(w *jwriter.Writer) {
 	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
-func (v *hireRecord) UnmarshalJSON(data []byte) error {
+func (v *rentalRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
 	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
-func (v *hireRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
+func (v *rentalRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(l, v)
 }
 func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore4(in *jlexer.Lexer, out *doneRecord) {
--- a/internal/core/hires.go
+++ b/internal/core/rentals.go
@@ -13,10 +13,10 @@
 	"firwood.dev/firwood/wire"
 )
 
-// hire is a rental from its record on, until the last machine of it is gone.
-type hire struct {
+// rental is one from its record on, until the last machine of it is gone.
+type rental struct {
 	name     string
-	rec      hireRecord
+	rec      rentalRecord
 	at       clock.Micros
 	resolved bool // the cloud has answered
 	writing  bool
@@ -24,39 +24,39 @@
 	version  uint64 // of the record as last known
 }
 
-// hiresAtOnce bounds the rentals under way: what the cloud answers in a second
+// rentalsAtOnce bounds the rentals under way: what the cloud answers in a second
 // or so, and the two records of each within the rate of writes.
-func (l *lead) hiresAtOnce() int {
+func (l *lead) rentalsAtOnce() int {
 	d := &l.c.cfg.Deployment
 	return max(int(min(2*d.Cloud.RPS, d.State.WriteRPS/4)), 2)
 }
 
-// rent begins a hire: its record comes first, so that whoever leads next knows
+// rent begins a rental: its record comes first, so that whoever leads next knows
 // which machines may exist.
 func (l *lead) rent(r planner.Rent, now clock.Micros) {
 	for n := r.Count; n > 0; n -= wire.MaxHire {
 		l.names++
-		h := &hire{
+		h := &rental{
 			name: fmt.Sprintf("%s-%d-%d", l.c.cfg.Member, l.token, l.names), at: now,
-			rec: hireRecord{Type: r.Pool.Type, Zone: r.Pool.Zone, Spot: r.Pool.Spot, Count: min(n, wire.MaxHire), At: int64(clock.Wall())},
+			rec: rentalRecord{Type: r.Pool.Type, Zone: r.Pool.Zone, Spot: r.Pool.Spot, Count: min(n, wire.MaxHire), At: int64(clock.Wall())},
 		}
-		l.hires[h.name] = h
-		l.recordHire(h, func() { l.sendHire(h) })
+		l.rentals[h.name] = h
+		l.recordRental(h, func() { l.sendRental(h) })
 	}
 }
 
-// recordHire writes the hire's record until it is durable, then goes on. Each
+// recordRental writes the rental's record until it is durable, then goes on. Each
 // write is conditional on the record's version: one that is carried out late, or
 // again, must not take back the names of machines that have tasks by then.
-func (l *lead) recordHire(h *hire, then func()) {
+func (l *lead) recordRental(h *rental, then func()) {
 	if h.writing {
 		h.stale = true
 		return
 	}
 	h.writing, h.stale = true, false
-	c := wire.Change{Put: prefixHire + h.name}
+	c := wire.Change{Put: prefixRental + h.name}
 	if h.resolved && len(h.rec.Machines) == 0 {
-		c = wire.Change{Delete: prefixHire + h.name}
+		c = wire.Change{Delete: prefixRental + h.name}
 	} else {
 		v, err := h.rec.MarshalJSON()
 		if err != nil {
@@ -66,11 +66,11 @@
 	}
 	dropped := c.Delete != ""
 	w := &state.Write{
-		Rank: state.Needed, If: []wire.Condition{{Key: prefixHire + h.name, Version: h.version}}, Then: []wire.Change{c},
+		Rank: state.Needed, If: []wire.Condition{{Key: prefixRental + h.name, Version: h.version}}, Then: []wire.Change{c},
 	}
 	l.writeRev(w, func(o state.Outcome, rev uint64) {
 		if o != state.Committed {
-			l.rereadHire(h, func() { l.recordHire(h, then) })
+			l.rereadRental(h, func() { l.recordRental(h, then) })
 			return
 		}
 		h.writing, h.version = false, rev
@@ -79,29 +79,29 @@
 		}
 		switch {
 		case h.stale:
-			l.recordHire(h, then)
+			l.recordRental(h, then)
 		default:
 			if dropped {
-				delete(l.hires, h.name)
+				delete(l.rentals, h.name)
 			}
 			then()
 		}
 	})
 }
 
-// rereadHire learns the version of a hire's record, a little later.
-func (l *lead) rereadHire(h *hire, then func()) {
+// rereadRental learns the version of a rental's record, a little later.
+func (l *lead) rereadRental(h *rental, then func()) {
 	l.after(200*clock.Millisecond, func() {
 		l.c.view.wantSync(func(err error) {
 			switch {
 			case l.closed:
 				return
 			case err != nil:
-				l.rereadHire(h, then)
+				l.rereadRental(h, then)
 				return
 			}
 			h.writing, h.version = false, 0
-			if rec := l.c.view.hires[h.name]; rec != nil {
+			if rec := l.c.view.rentals[h.name]; rec != nil {
 				h.version = rec.version
 			}
 			then()
@@ -109,9 +109,9 @@
 	})
 }
 
-func (l *lead) sendHire(h *hire) {
+func (l *lead) sendRental(h *rental) {
 	if !l.c.entitled() {
-		l.after(300*clock.Millisecond, func() { l.sendHire(h) })
+		l.after(300*clock.Millisecond, func() { l.sendRental(h) })
 		return
 	}
 	req := wire.Hire{Request: h.name, Type: h.rec.Type, Zone: h.rec.Zone, Spot: h.rec.Spot, Count: h.rec.Count}
@@ -125,7 +125,7 @@
 	}()
 }
 
-func (l *lead) hired(h *hire, names []string, err error) {
+func (l *lead) hired(h *rental, names []string, err error) {
 	now := clock.Now()
 	pool := planner.Pool{Type: h.rec.Type, Zone: h.rec.Zone, Spot: h.rec.Spot}
 	l.dirty = true
@@ -140,7 +140,7 @@
 				l.addMachine(h, n)
 			}
 		}
-		l.recordHire(h, func() {
+		l.recordRental(h, func() {
 			// Only machines that the record names may get tasks.
 			for _, n := range h.rec.Machines {
 				if m := l.lg.Machines[n]; m != nil {
@@ -153,10 +153,10 @@
 		l.pl.Refused(pool, now)
 		l.c.log.Debug("nothing to hire", "hire", h.name, "zone", h.rec.Zone, "spot", h.rec.Spot, "error", err)
 		h.resolved, h.rec.Resolved = true, true
-		l.recordHire(h, func() {})
+		l.recordRental(h, func() {})
 	default:
 		l.c.log.Debug("hire not answered", "hire", h.name, "error", err)
-		l.after(clock.Second, func() { l.sendHire(h) })
+		l.after(clock.Second, func() { l.sendRental(h) })
 	}
 }
 
@@ -198,7 +198,7 @@
 		l.deleteAt = now + clock.Second
 		return
 	}
-	touched := map[*hire]bool{}
+	touched := map[*rental]bool{}
 	for _, n := range batch {
 		l.gone[n] = now
 		delete(l.unknown, n)
@@ -209,15 +209,15 @@
 			if a.host != nil {
 				a.host.Close()
 			}
-			if a.hire != nil {
-				a.hire.rec.Machines = slices.DeleteFunc(a.hire.rec.Machines, func(s string) bool { return s == n })
-				touched[a.hire] = true
+			if a.rental != nil {
+				a.rental.rec.Machines = slices.DeleteFunc(a.rental.rec.Machines, func(s string) bool { return s == n })
+				touched[a.rental] = true
 			}
 			delete(l.machines, n)
 		}
 	}
 	for h := range touched {
-		l.recordHire(h, func() {})
+		l.recordRental(h, func() {})
 	}
 	l.settle(now)
 	l.dirty = true
--- a/internal/core/repeat_test.go
+++ b/internal/core/repeat_test.go
@@ -29,7 +29,7 @@
 	t.Fatal("it does not come about")
 }
 
-// Every transaction of a hire's and a mark's life comes again, at any later time:
+// Every transaction of a rental's and a mark's life comes again, at any later time:
 // none takes back what a later one has written.
 func TestRepeatedWritesTakeNothingBack(t *testing.T) {
 	s, stop := standin.NewState()
@@ -42,13 +42,13 @@
 		c.post(func() { token = rev })
 	}})
 	work(t, c, func() bool { return token != 0 })
-	c.view.hires, c.view.loaded, c.view.rev = map[string]*hireRecord{}, true, token
+	c.view.rentals, c.view.loaded, c.view.rev = map[string]*rentalRecord{}, true, token
 	l = newLead(c, token, clock.Now())
 	l.deadline.Store(1 << 62)
 	c.lead = l
 	l.rent(planner.Rent{Pool: planner.Pool{Type: "big", Zone: "x"}, Count: 2}, clock.Now())
-	var h *hire
-	for _, h = range l.hires {
+	var h *rental
+	for _, h = range l.rentals {
 	}
 	work(t, c, func() bool { return h.version != 0 })
 	l.hired(h, []string{"i-1", "i-2"}, nil)
@@ -75,6 +75,6 @@
 	// An open end: the transaction was carried out, its answer lost. The next write
 	// finds the version that it left.
 	h.version = 1
-	l.recordHire(h, func() { h.version |= 1 << 40 })
+	l.recordRental(h, func() { h.version |= 1 << 40 })
 	work(t, c, func() bool { return h.version>>40 == 1 })
 }
--- a/internal/core/small_test.go
+++ b/internal/core/small_test.go
@@ -31,7 +31,7 @@
 			core.post(func() { token = rev })
 		}})
 		work(t, core, func() bool { return token != 0 })
-		core.view.hires, core.view.loaded, core.view.rev = map[string]*hireRecord{}, true, token
+		core.view.rentals, core.view.loaded, core.view.rev = map[string]*rentalRecord{}, true, token
 		l = newLead(core, token, clock.Now())
 		l.deadline.Store(1 << 62)
 		core.lead = l
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -26,7 +26,7 @@
 		}
 		l.issuedAt = clock.Now()
 		l.lg.Issue(rev)
-		// Those who vouch hear of it first: they could not answer a worker that
+		// Those who are delegates hear of it first: they could not answer a worker that
 		// has seen a higher token than they know.
 		l.raiseAt = l.issuedAt + 2*beatEvery
 		l.c.nextBeat = 0
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -6,12 +6,12 @@
 
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/config"
+	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/internal/election"
 	"firwood.dev/firwood/internal/ledger"
 	"firwood.dev/firwood/internal/peer"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/internal/state"
-	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
@@ -322,14 +322,14 @@
 	c.beats[b.Member] = &beatSeen{beat: b, at: now}
 	c.toldWithdrawals(b.Withdrawals)
 	if s := c.stamps[b.Member]; b.Life > s.Life || b.Life == s.Life && b.Stamp > s.At {
-		c.stamps[b.Member] = vouch.Stamp{Life: b.Life, At: b.Stamp}
+		c.stamps[b.Member] = delegation.Stamp{Life: b.Life, At: b.Stamp}
 	}
-	echo := vouch.Stamp{Life: b.EchoLife, At: b.EchoStamp}
+	echo := delegation.Stamp{Life: b.EchoLife, At: b.EchoStamp}
 	if b.Leader == b.Member && c.lead == nil {
 		c.learn(b, now)
-		c.voucher.Hear(now, b.Token, echo)
+		c.delegate.Hear(now, b.Token, echo)
 	}
-	if c.lead != nil && c.voucher.Mine(echo) {
+	if c.lead != nil && c.delegate.Mine(echo) {
 		c.lead.bound.Answered(b.Member, now, echo.At, b.QuietFor)
 	}
 	if b.Leader == b.Member && c.el.Phase() != election.Leader {
@@ -406,8 +406,8 @@
 	if c.lead != nil {
 		c.lead.tell(b)
 	}
-	s := c.voucher.Stamp(now)
-	b.Life, b.Stamp, b.QuietFor = s.Life, s.At, c.voucher.QuietFor(now)
+	s := c.delegate.Stamp(now)
+	b.Life, b.Stamp, b.QuietFor = s.Life, s.At, c.delegate.QuietFor(now)
 	b.Revision = c.view.rev
 	for i, l := range c.links {
 		echo := c.stamps[c.cfg.Others[i].Member]
@@ -420,19 +420,19 @@
 	}
 }
 
-// vouchFor keeps the lease of a worker alive that cannot reach the leader any
+// answerAsDelegate keeps the lease of a worker alive that cannot reach the leader any
 // more than this member can. It is held here for one report at a time: after each
 // answer it is sent on, so a worker that does reach the leader is not kept from it.
 // The answer comes first: a worker that was sent on first had tried a leader out of
 // reach for four seconds, came here, tried it again, and was back after its lease.
-func (c *Core) vouchFor(rep *wire.Report, r *server.Reply, now clock.Micros) bool {
+func (c *Core) answerAsDelegate(rep *wire.Report, r *server.Reply, now clock.Micros) bool {
 	if c.lead != nil {
-		c.voucher.Led(c.lead.lg.Issued(), c.lead.knewAt)
+		c.delegate.Led(c.lead.lg.Issued(), c.lead.knewAt)
 	}
 	if !c.view.loaded || c.promised(rep.Zone) {
 		return false
 	}
-	token, until, ok := c.voucher.May(now, rep.Token)
+	token, until, ok := c.delegate.May(now, rep.Token)
 	if _, newest := c.el.Holder(); !ok || newest > token {
 		return false
 	}
@@ -451,7 +451,7 @@
 	c.held[rep.Machine] = now
 	// The answer goes out soon, or not at all.
 	until = min(until, now+clock.Second)
-	c.voucher.Vouched(until)
+	c.delegate.Answered(until)
 	if c.lead != nil {
 		// It may yet renew its lock and go on, and must then count with this.
 		if m := c.lead.lg.Machines[rep.Machine]; m != nil {
@@ -468,7 +468,7 @@
 		c.lead.checkin(rep, r)
 		return
 	}
-	if c.vouchFor(rep, r, clock.Now()) {
+	if c.answerAsDelegate(rep, r, clock.Now()) {
 		return
 	}
 	e := wire.Elsewhere{}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/internal/election"
 	"firwood.dev/firwood/internal/state"
-	"firwood.dev/firwood/internal/vouch"
 	"firwood.dev/firwood/wire"
 )
 
@@ -16,15 +16,15 @@
 // behind by guess: an answer to a user that could be overtaken waits for a
 // watch that was opened after the question came, and so proves its revision.
 type view struct {
-	loaded bool
-	rev    uint64
-	jobs   map[string]*jobRecord
-	done   map[string]map[int]bitmap
-	hires  map[string]*hireRecord
-	lock   election.Lock
-	// word is what leaders have left word of, with its version.
-	word        vouch.Word
-	wordVersion uint64
+	loaded  bool
+	rev     uint64
+	jobs    map[string]*jobRecord
+	done    map[string]map[int]bitmap
+	rentals map[string]*rentalRecord
+	lock    election.Lock
+	// promises are those of leaders, with its version.
+	promises        delegation.Promises
+	promisesVersion uint64
 
 	waiters  []*waiter
 	syncing  int // syncs under way
@@ -53,7 +53,7 @@
 func (v *view) init() {
 	v.jobs = map[string]*jobRecord{}
 	v.done = map[string]map[int]bitmap{}
-	v.hires = map[string]*hireRecord{}
+	v.rentals = map[string]*rentalRecord{}
 }
 
 // wantSync calls f once the view is at least as new as this call, or with an
@@ -111,7 +111,7 @@
 	}
 	// Keys that vanished while nobody watched: jobs never do.
 	v.done = map[string]map[int]bitmap{}
-	v.hires = map[string]*hireRecord{}
+	v.rentals = map[string]*rentalRecord{}
 	v.lock = election.Lock{}
 	for i := range items {
 		c.put(items[i].Key, items[i].Value, items[i].Version)
@@ -241,13 +241,13 @@
 		if len(c.types) == 0 {
 			c.setTypes(t.Types)
 		}
-	case key == keyWord:
-		var r wordRecord
+	case key == keyPromises:
+		var r promisesRecord
 		if err := r.UnmarshalJSON(value); err != nil {
 			c.malformed(key, err)
 			return
 		}
-		c.seenWord(r.Word, version)
+		c.seenPromises(r.Word, version)
 	case strings.HasPrefix(key, prefixAsked):
 		var r askedRecord
 		if err := r.UnmarshalJSON(value); err != nil {
@@ -284,14 +284,14 @@
 			v.done[id] = map[int]bitmap{}
 		}
 		v.done[id][chunk] = bits
-	case strings.HasPrefix(key, prefixHire):
-		r := &hireRecord{}
+	case strings.HasPrefix(key, prefixRental):
+		r := &rentalRecord{}
 		if err := r.UnmarshalJSON(value); err != nil {
 			c.malformed(key, err)
 			return
 		}
 		r.version = version
-		v.hires[key[len(prefixHire):]] = r
+		v.rentals[key[len(prefixRental):]] = r
 	}
 }
 
@@ -319,7 +319,7 @@
 				delete(v.done, id)
 			}
 		}
-	case strings.HasPrefix(key, prefixHire):
-		delete(v.hires, key[len(prefixHire):])
+	case strings.HasPrefix(key, prefixRental):
+		delete(v.rentals, key[len(prefixRental):])
 	}
 }
--- a/internal/vouch/vouch.go
+++ b/internal/delegation/delegation.go
@@ -1,4 +1,4 @@
-// Package vouch lets a controller that is cut off together with workers keep
+// Package delegation lets a controller that is cut off together with workers keep
 // their leases alive for a bounded while, in the name of a leader that neither
 // it nor they can reach. It is pure: time and beats come in, rights go out.
 //
@@ -10,7 +10,7 @@
 //
 // A right gives no commands and starts nothing. It also ends early enough for
 // withdrawals: see Config.
-package vouch
+package delegation
 
 import (
 	"slices"
@@ -22,7 +22,7 @@
 type Config struct {
 	// For is how long a right lasts from its stamp on; 0: there are none.
 	For clock.Micros
-	// Gap is how long a follower has not heard the leader before it vouches.
+	// Gap is how long a follower has not heard the leader before it answers as delegate.
 	Gap clock.Micros
 	// Settle is how long after a withdrawal the job's tasks may still be about
 	// while the leader echoes stamps. What is told at a stamp plus For may live
@@ -54,31 +54,31 @@
 	At   clock.Micros
 }
 
-// Voucher is a follower's side.
-type Voucher struct {
+// Delegate is a follower's side.
+type Delegate struct {
 	cfg   Config
 	life  uint64
 	born  clock.Micros
 	token uint64
 	until clock.Micros
 	heard clock.Micros
-	last  clock.Micros // when it last vouched
+	last  clock.Micros // when it last answered as delegate
 }
 
-// NewVoucher makes a member's side; life has to differ from that of any other
+// NewDelegate makes a member's side; life has to differ from that of any other
 // life of the member.
-func NewVoucher(cfg Config, life uint64, now clock.Micros) *Voucher {
-	return &Voucher{cfg: cfg, life: life, born: now}
+func NewDelegate(cfg Config, life uint64, now clock.Micros) *Delegate {
+	return &Delegate{cfg: cfg, life: life, born: now}
 }
 
 // Stamp is what the member sends to be echoed.
-func (v *Voucher) Stamp(now clock.Micros) Stamp { return Stamp{v.life, now} }
+func (v *Delegate) Stamp(now clock.Micros) Stamp { return Stamp{v.life, now} }
 
 // Mine tells whether a stamp is of this life.
-func (v *Voucher) Mine(s Stamp) bool { return s.Life == v.life && s.At > 0 }
+func (v *Delegate) Mine(s Stamp) bool { return s.Life == v.life && s.At > 0 }
 
 // Hear takes a beat of a leader, with the member's own stamp that it echoes.
-func (v *Voucher) Hear(now clock.Micros, token uint64, echo Stamp) {
+func (v *Delegate) Hear(now clock.Micros, token uint64, echo Stamp) {
 	if token < v.token {
 		return
 	}
@@ -93,7 +93,7 @@
 
 // Led is told by a leader whose entitlement is over, if only for now: it knew
 // all that was withdrawn before `from`, when it was still entitled.
-func (v *Voucher) Led(token uint64, from clock.Micros) {
+func (v *Delegate) Led(token uint64, from clock.Micros) {
 	if token < v.token || v.cfg.For == 0 || from == 0 {
 		return
 	}
@@ -102,67 +102,67 @@
 
 // May tells whether the member may answer a worker that has seen a token, under
 // which token, and until when.
-func (v *Voucher) May(now clock.Micros, seen uint64) (token uint64, until clock.Micros, ok bool) {
+func (v *Delegate) May(now clock.Micros, seen uint64) (token uint64, until clock.Micros, ok bool) {
 	if v.token == 0 || seen > v.token || now >= v.until || now-v.heard < v.cfg.Gap {
 		return 0, 0, false
 	}
 	return v.token, v.until, true
 }
 
-// Vouched notes an answer that may go out until then.
-func (v *Voucher) Vouched(until clock.Micros) { v.last = max(v.last, until) }
+// Answered notes an answer that may go out until then.
+func (v *Delegate) Answered(until clock.Micros) { v.last = max(v.last, until) }
 
-// QuietFor is for how long the member has certainly not vouched, earlier lives
+// QuietFor is for how long the member has certainly not answered as delegate, earlier lives
 // left out, and how long this life is at most.
-func (v *Voucher) QuietFor(now clock.Micros) clock.Micros {
+func (v *Delegate) QuietFor(now clock.Micros) clock.Micros {
 	if v.last == 0 {
 		return now - v.born
 	}
 	return max(now-v.last, 0)
 }
 
-// Bound is a leader's side: until when others may have vouched.
-type Bound struct {
+// Grants is a leader's side: until when others may have answered as delegates.
+type Grants struct {
 	cfg     Config
 	since   clock.Micros
-	own     clock.Micros // it may have vouched itself until then, in an earlier life
+	own     clock.Micros // it may have answered as delegates itself until then, in an earlier life
 	members map[string]*member
 }
 
 type member struct {
 	right clock.Micros // the end of its right
 	sure  clock.Micros // the latest own stamp that it is known to have received
-	quiet clock.Micros // nothing was vouched between this and sure
+	quiet clock.Micros // nothing was answered as delegate between this and sure
 }
 
-// NewBound makes the side of a leader that begins now and has not vouched itself
+// NewGrants makes the side of a leader that begins now and has not answered as delegate itself
 // for so long. Rights that earlier leaders gave, or keep for themselves, began
 // before that.
-func NewBound(cfg Config, now, quietFor clock.Micros, others []string) *Bound {
-	b := &Bound{cfg: cfg, since: now, own: now - quietFor, members: map[string]*member{}}
+func NewGrants(cfg Config, now, quietFor clock.Micros, others []string) *Grants {
+	b := &Grants{cfg: cfg, since: now, own: now - quietFor, members: map[string]*member{}}
 	for _, m := range others {
 		b.members[m] = &member{right: b.end(now)}
 	}
 	return b
 }
 
-func (b *Bound) end(from clock.Micros) clock.Micros {
+func (b *Grants) end(from clock.Micros) clock.Micros {
 	if b.cfg.For == 0 {
 		return 0
 	}
 	return from + b.cfg.For + slack(b.cfg.For)
 }
 
-// Known takes an earlier leader's word that a member's last right ends no later,
+// Known takes an earlier leader's promises that a member's last right ends no later,
 // which no leader has taken back since.
-func (b *Bound) Known(name string, end clock.Micros) {
+func (b *Grants) Known(name string, end clock.Micros) {
 	if m := b.members[name]; m != nil {
 		m.right = min(m.right, end)
 	}
 }
 
 // Right is the end of the last right that a member may have.
-func (b *Bound) Right(name string) clock.Micros {
+func (b *Grants) Right(name string) clock.Micros {
 	if m := b.members[name]; m != nil {
 		return m.right
 	}
@@ -171,15 +171,15 @@
 
 // Echoed notes that a stamp of a member, which came before `at`, is echoed from
 // now on.
-func (b *Bound) Echoed(name string, at clock.Micros) {
+func (b *Grants) Echoed(name string, at clock.Micros) {
 	if m := b.members[name]; m != nil {
 		m.right = max(m.right, b.end(at))
 	}
 }
 
-// Answered takes a member's word that it has received the beat of this leader
-// stamped so, and for how long it had not vouched when it said that.
-func (b *Bound) Answered(name string, now, stamp, quietFor clock.Micros) {
+// Answered takes a member's promises that it has received the beat of this leader
+// stamped so, and for how long it had not answered as delegate when it said that.
+func (b *Grants) Answered(name string, now, stamp, quietFor clock.Micros) {
 	m := b.members[name]
 	if m == nil || stamp < b.since || stamp > now || quietFor < 0 {
 		return
@@ -191,12 +191,12 @@
 }
 
 // Latest is the last instant at which another member, or this one in an earlier
-// life, may have vouched for a worker, as far as can be known now.
-func (b *Bound) Latest(now clock.Micros) clock.Micros { return b.LatestBut(now, "", nil) }
+// life, may have answered as delegates for a worker, as far as can be known now.
+func (b *Grants) Latest(now clock.Micros) clock.Micros { return b.LatestBut(now, "", nil) }
 
-// LatestBut is the same for a zone in which some members vouch for nobody; self
+// LatestBut is the same for a zone in which some members answer nobody as delegates; self
 // is this member's name.
-func (b *Bound) LatestBut(now clock.Micros, self string, but []string) clock.Micros {
+func (b *Grants) LatestBut(now clock.Micros, self string, but []string) clock.Micros {
 	var latest clock.Micros
 	if !slices.Contains(but, self) {
 		latest = b.own
@@ -206,7 +206,7 @@
 			continue
 		}
 		latest = max(latest, m.quiet)
-		// It has heard this leader after `sure`, and vouches for nobody for a
+		// It has heard this leader after `sure`, and answers nobody as delegate for a
 		// while after that.
 		if m.sure == 0 || now >= m.sure+b.cfg.Gap-slack(b.cfg.Gap) {
 			latest = max(latest, m.right)
@@ -215,5 +215,5 @@
 	return latest
 }
 
-// Own is until when this member may have vouched itself before it led.
-func (b *Bound) Own() clock.Micros { return b.own }
+// Own is until when this member may have answered as delegates itself before it led.
+func (b *Grants) Own() clock.Micros { return b.own }
--- a/internal/vouch/vouch_test.go
+++ b/internal/delegation/delegation_test.go
@@ -1,4 +1,4 @@
-package vouch
+package delegation
 
 import (
 	"math/rand/v2"
@@ -18,8 +18,8 @@
 }
 
 type node struct {
-	v      *Voucher
-	b      *Bound
+	v      *Delegate
+	b      *Grants
 	token  uint64
 	stamps map[int]Stamp
 	echoes map[int]Stamp
@@ -33,11 +33,11 @@
 }
 
 // Over generated histories of beats that are lost, late and out of order, of
-// lives that end, leaders that change and clocks that drift: nobody vouches
+// lives that end, leaders that change and clocks that drift: nobody answers as delegate
 // later than the leader of the day takes for possible, and no right outlives a
 // stamp that a leader has echoed by more than its time.
-func TestNobodyVouchesLaterThanKnown(t *testing.T) {
-	vouched, proofs := 0, 0
+func TestNoDelegateAnswersLaterThanKnown(t *testing.T) {
+	delegated, proofs := 0, 0
 	for seed := uint64(1); seed <= 1500; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 9))
 		cfg := Config{For: 20 * clock.Second, Gap: 3 * clock.Second, Settle: 5 * clock.Second}
@@ -48,7 +48,7 @@
 		born := func(i int) {
 			life++
 			n := &node{stamps: map[int]Stamp{}, echoes: map[int]Stamp{}, offset: -now + clock.Micros(rng.IntN(9000000)), rate: 1 + (rng.Float64()-0.5)*0.001}
-			n.v = NewVoucher(cfg, life, n.clock(now))
+			n.v = NewDelegate(cfg, life, n.clock(now))
 			nodes[i] = n
 		}
 		for i := range nodes {
@@ -56,7 +56,7 @@
 		}
 		others := func(i int) []string { return append(append([]string{}, names[:i]...), names[i+1:]...) }
 		leader, token := -1, uint64(0)
-		var last clock.Micros // the latest vouching of anybody, in true time
+		var last clock.Micros // the latest answering as delegate of anybody, in true time
 		cut := [3]bool{}
 		var wire []beat
 		for step := 0; step < 400; step++ {
@@ -82,7 +82,7 @@
 				token++
 				n := nodes[leader]
 				n.token, n.echoes = token, map[int]Stamp{}
-				n.b = NewBound(cfg, n.clock(now), n.v.QuietFor(n.clock(now)), others(leader))
+				n.b = NewGrants(cfg, n.clock(now), n.v.QuietFor(n.clock(now)), others(leader))
 				n.synced = n.clock(now)
 			}
 			for i, n := range nodes {
@@ -134,16 +134,16 @@
 					continue
 				}
 				if _, until, ok := n.v.May(n.clock(now), token); ok {
-					n.v.Vouched(min(until, n.clock(now)))
+					n.v.Answered(min(until, n.clock(now)))
 					last = now
-					vouched++
+					delegated++
 				}
 				_ = i
 			}
 			if leader >= 0 {
 				n := nodes[leader]
 				if known := n.b.Latest(n.clock(now)); known < n.clock(last) && last != 0 {
-					t.Fatalf("history %d, step %d: vouched at %d, the leader takes %d for the latest", seed, step, n.clock(last), known)
+					t.Fatalf("history %d, step %d: answered as delegate at %d, the leader takes %d for the latest", seed, step, n.clock(last), known)
 				}
 				if n.b.Latest(n.clock(now)) < n.clock(now)-10*clock.Second {
 					proofs++
@@ -151,8 +151,8 @@
 			}
 		}
 	}
-	if vouched < 1000 || proofs < 1000 {
-		t.Fatalf("%d answers, %d proofs: the histories show little", vouched, proofs)
+	if delegated < 1000 || proofs < 1000 {
+		t.Fatalf("%d answers, %d proofs: the histories show little", delegated, proofs)
 	}
 }
 
@@ -169,17 +169,17 @@
 	if c := Times(44*clock.Second, 14*clock.Second, 3*clock.Second, 13*clock.Second); c.For != 0 {
 		t.Fatalf("a right where no worker is back in time: %+v", c)
 	}
-	v := NewVoucher(cfg, 1, clock.Second)
+	v := NewDelegate(cfg, 1, clock.Second)
 	s := v.Stamp(10 * clock.Second)
 	v.Hear(25*clock.Second, 5, s) // fifteen seconds late
 	if _, _, ok := v.May(26*clock.Second, 5); ok {
-		t.Fatal("vouches while the leader is heard")
+		t.Fatal("answers as delegate while the leader is heard")
 	}
 	if _, until, ok := v.May(29*clock.Second, 5); !ok || until != s.At+cfg.For {
 		t.Fatalf("until %v, %v", until, ok)
 	}
 	if _, _, ok := v.May(29*clock.Second, 6); ok {
-		t.Fatal("vouches for a worker that has seen a newer leader")
+		t.Fatal("answers as delegate for a worker that has seen a newer leader")
 	}
 	v.Hear(30*clock.Second, 6, Stamp{})
 	if token, until, ok := v.May(34*clock.Second, 5); !ok || token != 6 || until != s.At+cfg.For {
@@ -188,7 +188,7 @@
 	if v.Hear(35*clock.Second, 5, v.Stamp(35*clock.Second)); v.until != s.At+cfg.For {
 		t.Fatal("a deposed leader extends a right")
 	}
-	w := NewVoucher(cfg, 2, clock.Second)
+	w := NewDelegate(cfg, 2, clock.Second)
 	w.Hear(20*clock.Second, 5, s)
 	if _, _, ok := w.May(24*clock.Second, 5); ok {
 		t.Fatal("a stamp of an earlier life gives a right")
--- a/internal/vouch/word_test.go
+++ b/internal/delegation/promise_test.go
@@ -1,4 +1,4 @@
-package vouch
+package delegation
 
 import (
 	"fmt"
@@ -13,31 +13,31 @@
 // copy can ever bring it back.
 func TestNothingIsPromisedUnknown(t *testing.T) {
 	type write struct {
-		w    Word
+		w    Promises
 		cond uint64
 	}
 	open, seen := 0, 0
 	for seed := uint64(1); seed <= 2000; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 5))
-		var word Word // as the service has it
+		var promises Promises // as the service has it
 		version, rev := uint64(0), uint64(0)
 		var network []write // may be carried out, now or later, and again
-		k := NewKeeper(word, version)
+		k := NewPromiseTracker(promises, version)
 		carry := func(x write) bool {
 			if x.cond != version {
 				return false
 			}
 			rev++
-			word, version = x.w, rev
+			promises, version = x.w, rev
 			return true
 		}
 		for step := 0; step < 60; step++ {
 			switch rng.IntN(4) {
 			case 0, 1:
-				w := Word{Zones: map[string]ZoneWord{}, Members: map[string]clock.Micros{}}
+				w := Promises{Zones: map[string]ZonePromise{}, Members: map[string]clock.Micros{}}
 				for z := 0; z < 3; z++ {
 					if rng.IntN(2) == 0 {
-						w.Zones[fmt.Sprint(z)] = ZoneWord{At: clock.Micros(step)}
+						w.Zones[fmt.Sprint(z)] = ZonePromise{At: clock.Micros(step)}
 						w.Members[fmt.Sprint(z)] = clock.Micros(step)
 					}
 				}
@@ -71,12 +71,12 @@
 					carry(network[rng.IntN(len(network))])
 				}
 			case 3:
-				k.Seen(word, version)
+				k.Seen(promises, version)
 				seen++
 			}
 			for z := 0; z < 3; z++ {
 				name := fmt.Sprint(z)
-				if _, ok := word.Zones[name]; ok && !k.Zone(name) || len(word.Members) > 0 && word.Members[name] != 0 && !k.Member(name) {
+				if _, ok := promises.Zones[name]; ok && !k.Zone(name) || len(promises.Members) > 0 && promises.Members[name] != 0 && !k.Member(name) {
 					t.Fatalf("history %d, step %d: promised about %s, and not known", seed, step, name)
 				}
 			}
--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -4,30 +4,30 @@
 	"firwood.dev/firwood/internal/clock"
 )
 
-// Vouched takes until when other controllers may have answered workers in this
+// Answered takes until when other controllers may have answered workers in this
 // leader's name or an earlier one's, as far as can be known now, and in which
 // zones something else is known. No lease ends sooner than one that was renewed
 // then.
-func (l *Ledger) Vouched(until clock.Micros, zones map[string]clock.Micros) {
-	l.vouched, l.vouchedIn = until, zones
+func (l *Ledger) Answered(until clock.Micros, zones map[string]clock.Micros) {
+	l.delegated, l.delegatedIn = until, zones
 }
 
-// LastHeardBy takes what an earlier leader has left word of: no report of the
+// LastHeardBy takes what an earlier leader has promised: no report of the
 // machine was answered after that. It holds as long as this leader answers none.
 func (l *Ledger) LastHeardBy(m *Machine, at clock.Micros) { m.granted = min(m.granted, at) }
 
 // LastHeard is the last instant at which a report of the machine may have been
-// answered, by members that vouch left out.
+// answered, by delegates left out.
 func (m *Machine) LastHeard() clock.Micros { return m.granted }
 
 // LeaseEnd is when the machine's lease has provably run out, if nothing is
 // answered to it any more. The slack covers drift of both clocks.
 func (l *Ledger) LeaseEnd(m *Machine) clock.Micros {
-	vouched, ok := l.vouchedIn[m.Zone]
+	delegated, ok := l.delegatedIn[m.Zone]
 	if !ok {
-		vouched = l.vouched
+		delegated = l.delegated
 	}
-	return max(m.granted, vouched) + l.cfg.Lease + l.cfg.Lease/500 + clock.Second
+	return max(m.granted, delegated) + l.cfg.Lease + l.cfg.Lease/500 + clock.Second
 }
 
 // Expire ends what was on a machine whose lease has run out. The machine has
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -376,18 +376,18 @@
 	doubt    map[string]*Resources
 	counter  uint64
 	// token is what messages carry, issued the highest that may be seen: it is told
-	// to those who vouch before it is used. Both begin as the lock's.
+	// to those who are delegates before it is used. Both begin as the lock's.
 	token, issued uint64
 	startsHeld    bool // see HoldStarts
 	heldBack      bool // an attempt was not forgotten for want of a higher token
 	open          int  // machines not accounted for
 	settled       bool
-	vouched       clock.Micros // others may have answered workers until then
-	// vouchedIn is the same for zones of which more is known.
-	vouchedIn map[string]clock.Micros
-	reports   uint64 // counts those taken, to mark what each listed
-	byName    []*Machine
-	outbox    []*Machine // machines that something may have to be sent to
+	delegated     clock.Micros // others may have answered workers until then
+	// delegatedIn is the same for zones of which more is known.
+	delegatedIn map[string]clock.Micros
+	reports     uint64 // counts those taken, to mark what each listed
+	byName      []*Machine
+	outbox      []*Machine // machines that something may have to be sent to
 
 	// Ended collects how placements ended, until it is taken.
 	Ended []Ending
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -47,25 +47,25 @@
 }
 
 type world struct {
-	t       *testing.T
-	seed    uint64
-	rng     *rand.Rand
-	now     clock.Micros
-	workers []*fakeWorker
-	lg      *Ledger
-	token   uint64
-	ids     []string
-	specs   map[string]*wire.Job
-	marked  map[string]bool
-	done    map[string]map[int]bool
-	over    map[string]bool
-	held    []heldDirect
-	old     []heldDirect // carried out before; copies of them may come
-	limit   int64
-	starts  int
-	gangs   int // that were complete
-	copies  []*wire.Report
-	vouch   clock.Micros // others may answer workers until then
+	t         *testing.T
+	seed      uint64
+	rng       *rand.Rand
+	now       clock.Micros
+	workers   []*fakeWorker
+	lg        *Ledger
+	token     uint64
+	ids       []string
+	specs     map[string]*wire.Job
+	marked    map[string]bool
+	done      map[string]map[int]bool
+	over      map[string]bool
+	held      []heldDirect
+	old       []heldDirect // carried out before; copies of them may come
+	limit     int64
+	starts    int
+	gangs     int // that were complete
+	copies    []*wire.Report
+	delegated clock.Micros // others may answer workers until then
 }
 
 func (w *world) fatal(format string, args ...any) {
@@ -361,8 +361,8 @@
 		}
 	}
 	// Somebody may still hold a right of the leader before.
-	w.vouch = w.now + 20*clock.Second
-	w.lg.Vouched(w.vouch, nil)
+	w.delegated = w.now + 20*clock.Second
+	w.lg.Answered(w.delegated, nil)
 	w.lg.Settle()
 }
 
@@ -487,14 +487,14 @@
 				}
 				w.makeDurable()
 			},
-			"vouch": func() {
+			"answer as delegate": func() {
 				// Another controller keeps a lease alive, in this leader's name or
 				// an earlier one's.
 				if w.rng.IntN(4) == 0 {
-					w.vouch = w.now + 20*clock.Second
-					w.lg.Vouched(w.vouch, nil)
+					w.delegated = w.now + 20*clock.Second
+					w.lg.Answered(w.delegated, nil)
 				}
-				if k := worker(); !k.gone && !k.hung && w.now < w.vouch {
+				if k := worker(); !k.gone && !k.hung && w.now < w.delegated {
 					w.expire(k)
 					w.report(k)
 					k.hasAnswer = false
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -31,7 +31,7 @@
 		return Deposed
 	}
 	if r.Token > l.token {
-		l.token = r.Token // somebody who vouches has told it first
+		l.token = r.Token // a delegate has told it first
 	}
 	if !r.Newer(m.Session, m.Seq) || r.Session < m.minSession {
 		return Stale
--- a/internal/ledger/token.go
+++ b/internal/ledger/token.go
@@ -15,7 +15,7 @@
 func (l *Ledger) Issued() uint64 { return l.issued }
 
 // Issue takes a higher token, which may be seen from now on; Raise uses it. Those
-// who vouch are told in between.
+// who are delegates are told in between.
 func (l *Ledger) Issue(token uint64) { l.issued = max(l.issued, token) }
 
 // Raise has messages carry the highest token that was issued.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,6 +1,6 @@
 // Package peer owns the links between controllers: one-way beats in
 // FlatBuffers over TCP. Beats may be lost, late or repeated: what is learnt from
-// them is advice, but for the stamps and their echoes, which package vouch
+// them is advice, but for the stamps and their echoes, which package delegation
 // explains.
 package peer
 
@@ -72,7 +72,7 @@
 	Counts  []Count
 
 	// Life and Stamp are the speaker's, EchoLife and EchoStamp a stamp of the
-	// receiver's that it echoes; see package vouch.
+	// receiver's that it echoes; see package delegation.
 	Life      uint64
 	Stamp     clock.Micros
 	EchoLife  uint64
