--- a/internal/ci/knownred/knownred.go
+++ b/internal/ci/knownred/knownred.go
@@ -143,8 +143,9 @@
 			fmt.Fprint(out, e.Output)
 			return
 		}
-		top, _, _ := strings.Cut(name, "/")
-		outputs[top] = append(outputs[top], e.Output)
+		top, _, _ := strings.Cut(e.Test, "/")
+		key := e.Package + "." + top
+		outputs[key] = append(outputs[key], e.Output)
 	case "pass":
 		if e.Test != "" && !subtest {
 			r.passed[name] = true
--- a/internal/ci/knownred/knownred_test.go
+++ b/internal/ci/knownred/knownred_test.go
@@ -70,6 +70,12 @@
 			t.Errorf("%s: ok is %v: %+v", c.name, result.OK(), result)
 		}
 	}
+	var out strings.Builder
+	shown := `{"Action":"output","Package":"a/b","Test":"TestBad/sub","Output":"the cause\n"}` + "\n" +
+		`{"Action":"fail","Package":"a/b","Test":"TestBad"}` + "\n"
+	if _, err := Judge(strings.NewReader(shown), nil, &out); err != nil || !strings.Contains(out.String(), "the cause") {
+		t.Errorf("a failed subtest's output is not shown: %q, %v", out.String(), err)
+	}
 	if _, err := Judge(strings.NewReader("{"), nil, io.Discard); err == nil {
 		t.Error("events that cannot be read pass")
 	}
