--- a/cmd/firwood/main.go
+++ b/cmd/firwood/main.go
@@ -181,6 +181,9 @@
 	if s.Done != nil && s.Running != nil {
 		fmt.Fprintf(out, " done=%d running=%d", *s.Done, *s.Running)
 	}
+	if len(s.Awaits) > 0 {
+		fmt.Fprintf(out, " awaits=%s", strings.Join(s.Awaits, ","))
+	}
 	fmt.Fprintln(out)
 	return nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -85,6 +85,34 @@
 	WriteRPS float64 `json:"write_rps"`
 	ValueKB  float64 `json:"value_kb"`
 	TxnOps   int     `json:"txn_ops"`
+	// Next, if not nil, are limits that take force at some moment, unannounced.
+	Next *NextState `json:"next"`
+}
+
+// NextState holds the state service's limits to come; one that is 0 stays.
+type NextState struct {
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// Effective are the limits to keep to: whatever is written fits those in force and
+// those to come.
+func (s State) Effective() State {
+	if s.Next == nil {
+		return s
+	}
+	if s.Next.WriteRPS > 0 {
+		s.WriteRPS = min(s.WriteRPS, s.Next.WriteRPS)
+	}
+	if s.Next.ValueKB > 0 {
+		s.ValueKB = min(s.ValueKB, s.Next.ValueKB)
+	}
+	if s.Next.TxnOps > 0 {
+		s.TxnOps = min(s.TxnOps, s.Next.TxnOps)
+	}
+	s.Next = nil
+	return s
 }
 
 // Cloud holds the cloud's limits.
@@ -214,6 +242,9 @@
 		{positive(d.State.WriteRPS), "deployment.state.write_rps", "is not above 0"},
 		{d.State.ValueKB >= 1 && positive(d.State.ValueKB), "deployment.state.value_kb", "is below 1"},
 		{d.State.TxnOps >= 1, "deployment.state.txn_ops", "is below 1"},
+		{d.State.Next == nil || notNegative(d.State.Next.WriteRPS), "deployment.state.next.write_rps", "is below 0"},
+		{d.State.Next == nil || d.State.Next.ValueKB == 0 || d.State.Next.ValueKB >= 1 && positive(d.State.Next.ValueKB), "deployment.state.next.value_kb", "is below 1"},
+		{d.State.Next == nil || d.State.Next.TxnOps >= 0, "deployment.state.next.txn_ops", "is below 0"},
 		{positive(d.Cloud.RPS), "deployment.cloud.rps", "is not above 0"},
 		{notNegative(d.Cloud.ListLagS), "deployment.cloud.list_lag_s", "is below 0"},
 		{positive(d.Limits.Cores), "deployment.limits.cores", "is not above 0"},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"firwood.dev/firwood/internal/election"
 	"firwood.dev/firwood/internal/ledger"
 	"firwood.dev/firwood/internal/peer"
+	"firwood.dev/firwood/internal/pipeline"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/internal/sockets"
 	"firwood.dev/firwood/internal/staleness"
@@ -45,6 +46,7 @@
 	teams     map[string]ledger.Team
 
 	view  view
+	graph *pipeline.Graph
 	el    *election.Machine
 	beats map[string]*beatSeen
 	lead  *lead // nil unless leader and rebuilt
@@ -99,12 +101,13 @@
 	c := &Core{
 		cfg: cfg, tuning: tuning, log: log, dial: dial, ended: make(chan struct{}), q: newQueue(),
 		store: state.New(dial, cfg.Outside.State, state.Limits{
-			RPS: d.State.RPS, WriteRPS: d.State.WriteRPS, TxnOps: d.State.TxnOps,
+			RPS: d.State.RPS, WriteRPS: d.State.Effective().WriteRPS, TxnOps: d.State.Effective().TxnOps,
 		}, keyLock),
 		cloud:      cloud.New(dial, cfg.Outside.Cloud, d.Cloud.RPS),
 		sockets:    sockets.New(cfg.Sockets()),
 		directs:    max(cfg.Sockets()/24, 4),
 		teams:      map[string]ledger.Team{},
+		graph:      pipeline.New(),
 		el:         election.New(election.Config{Member: cfg.Member, TTL: ttl, Slack: 50 * clock.Millisecond}),
 		beats:      map[string]*beatSeen{},
 		submitting: map[string][]*server.Reply{},
--- a/internal/core/durable.go
+++ b/internal/core/durable.go
@@ -85,7 +85,7 @@
 // cloud's interface is down.
 func (l *lead) saveTypes() {
 	v, err := wire.MachineTypes{Types: l.c.types}.MarshalJSON()
-	if err != nil || len(v) > int(l.c.cfg.Deployment.State.ValueKB*1024) {
+	if err != nil || len(v) > int(l.c.cfg.Deployment.State.Effective().ValueKB*1024) {
 		l.c.log.Info("machine types are too large for the state service; controllers learn them from the cloud alone", "bytes", len(v))
 		return
 	}
@@ -143,11 +143,11 @@
 
 func (l *lead) saveProgress(id string, j *ledger.Job, a *jobAux, todo []int, now clock.Micros) {
 	a.writing, a.wroteAt = true, now
-	size := l.c.chunk
+	size := a.chunk
 	// What is more than a transaction takes is for the next one.
 	chunks := map[int]bool{}
 	todo = slices.DeleteFunc(todo, func(i int) bool {
-		if !chunks[i/size] && len(chunks) >= l.c.cfg.Deployment.State.TxnOps {
+		if !chunks[i/size] && len(chunks) >= l.c.cfg.Deployment.State.Effective().TxnOps {
 			return true
 		}
 		chunks[i/size] = true
@@ -183,6 +183,9 @@
 	}
 	over := overRecord(rec, wire.JobDone, clock.Wall())
 	over.First, over.Errors, over.Restarts = a.first, j.Errors, j.Restarts
+	if released := l.c.graph.ReleasedAt(id, clock.Micros(rec.At)); int64(released) != rec.At {
+		over.Released = int64(released)
+	}
 	v, err := over.MarshalJSON()
 	if err != nil {
 		return
@@ -194,7 +197,7 @@
 		Then: []wire.Change{{Put: prefixJob + id, Value: v}},
 	}
 	rest := l.dropProgress(w, id, a.chunks)
-	l.write(w, func(o state.Outcome) {
+	l.writeRev(w, func(o state.Outcome, rev uint64) {
 		a.writing = false
 		l.dirty = true
 		switch o {
@@ -203,6 +206,11 @@
 			a.over = true
 			todo := j.NotDurable()
 			l.lg.MadeDurable(j, todo)
+			if cur := l.c.view.jobs[id]; cur == nil || cur.version < rev {
+				// Jobs that need this one need not wait for the watch.
+				over.version = rev
+				l.c.setJob(id, over)
+			}
 			l.logEnd(id, over)
 		case state.Conflict, state.Unknown:
 			// Withdrawn meanwhile, or done without our knowing: the view tells.
@@ -222,7 +230,7 @@
 // dropProgress adds the removal of a job's progress to the write of its end, as far
 // as one transaction takes it; the rest goes by what it returns, once that is written.
 func (l *lead) dropProgress(w *state.Write, id string, chunks int) (rest func()) {
-	most := l.c.cfg.Deployment.State.TxnOps
+	most := l.c.cfg.Deployment.State.Effective().TxnOps
 	ch := 0
 	for ; ch < chunks && len(w.Then) < most; ch++ {
 		w.Then = append(w.Then, wire.Change{Delete: doneKey(id, ch)})
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -106,6 +106,7 @@
 	writing  bool
 	wroteAt  clock.Micros
 	chunks   int
+	chunk    int // tasks in one progress key
 	warned   bool
 	over     bool    // its end is durable
 	ran      int     // tasks that this leader saw run to their end
@@ -178,11 +179,17 @@
 			l.sendRental(h)
 		}
 	}
+	var cancelled []string // with jobs that they need
 	for id, rec := range c.view.jobs {
 		done := c.view.done[id]
-		if !rec.over() {
-			l.addJob(id, rec, len(done) > 0)
-		} else if rec.Job != nil {
+		switch {
+		case rec.cancelledWith:
+			cancelled = append(cancelled, id)
+		case !rec.over():
+			if !c.blocked(id, rec) {
+				l.addJob(id, rec, len(done) > 0)
+			}
+		case rec.Job != nil:
 			// Withdrawn, but its tasks are not known to be gone.
 			j := l.addJob(id, rec, len(done) > 0)
 			l.withdraw(j, rec, now)
@@ -193,6 +200,9 @@
 	l.bounds(now)
 	l.lg.Settle()
 	l.goOn(now)
+	for _, id := range cancelled {
+		l.cancelledWith(id)
+	}
 	c.log.Info("account rebuilt", "token", token, "jobs", len(l.lg.Jobs), "machines", len(l.lg.Machines), "accounted", l.lg.Accounted())
 	return l
 }
@@ -212,14 +222,21 @@
 
 func (l *lead) addJob(id string, rec *jobRecord, marked bool) *ledger.Job {
 	done := l.c.view.done[id]
-	j := l.lg.AddJob(rec.Job, clock.Micros(rec.At), clock.Now(), marked, func(i int) bool {
-		return done[i/l.c.chunk].has(i % l.c.chunk)
+	chunk := l.c.chunk
+	if rec.Chunk > 0 {
+		chunk = rec.Chunk
+	}
+	released := l.c.graph.ReleasedAt(id, clock.Micros(rec.At))
+	j := l.lg.AddJob(rec.Job, released, clock.Now(), marked, func(i int) bool {
+		return done[i/chunk].has(i % chunk)
 	})
+	u := l.c.graph.UrgencyOf(id, urgency(rec))
+	j.Priority, j.Deadline = u.Priority, u.Deadline
 	chunks := 0
 	for ch := range done {
 		chunks = max(chunks, ch+1)
 	}
-	l.jobs[id] = &jobAux{chunks: chunks, first: rec.First}
+	l.jobs[id] = &jobAux{chunks: chunks, chunk: chunk, first: rec.First}
 	return j
 }
 
@@ -239,7 +256,11 @@
 	j := l.lg.Jobs[id]
 	l.dirty = true
 	switch {
+	case rec.cancelledWith:
 	case !rec.over() && j == nil && l.jobs[id] == nil:
+		if l.c.blocked(id, rec) {
+			return
+		}
 		l.pl.Arrived(l.addJob(id, rec, false), now)
 	case rec.State == wire.JobAborted && j != nil:
 		l.withdraw(j, rec, now)
--- /dev/null
+++ b/internal/core/pipelines.go
@@ -0,0 +1,205 @@
+package core
+
+import (
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/pipeline"
+	"firwood.dev/firwood/internal/server"
+	"firwood.dev/firwood/internal/state"
+	"firwood.dev/firwood/wire"
+)
+
+// Jobs that await others. A job's own record, and the records of the jobs that it
+// names, are all there is: whether it may start, whether it is cancelled with one
+// of them, and how urgent it is are derived from them by every controller alike.
+// The leader's account has only jobs that may start.
+
+// startTime is about how long a job takes beside its run: its machine and its image.
+const startTime = 5 * clock.Second
+
+// awaits is what a job awaits, and whether all parts of that are known.
+func (c *Core) awaits(id string, r *jobRecord) (ids []string, whole bool) {
+	if r.Parts == 0 {
+		return r.Job.Awaits, true
+	}
+	parts := c.view.awaits[id]
+	if len(parts) < r.Parts {
+		return nil, false
+	}
+	for part := range r.Parts {
+		ids = append(ids, parts[part]...)
+	}
+	return ids, true
+}
+
+// urgency is what a job itself asks for.
+func urgency(r *jobRecord) pipeline.Urgency {
+	u := pipeline.Urgency{Priority: wire.PriorityIndex(r.Job.Priority)}
+	if r.Job.DeadlineS > 0 && r.Job.Kind != wire.KindService {
+		u.Deadline = clock.Micros(r.At) + clock.FromSeconds(r.Job.DeadlineS)
+	}
+	return u
+}
+
+// follow draws the conclusions from a job's record for those that need it.
+func (c *Core) follow(id string, r *jobRecord) {
+	switch {
+	case r.State == wire.JobDone:
+		c.carryOut(c.graph.Done(id, clock.Micros(r.End)))
+	case r.State == wire.JobAborted:
+		c.carryOut(c.graph.Cancel(id))
+	case r.Job != nil:
+		needs, whole := c.awaits(id, r)
+		if !whole {
+			return // the rest comes with the same transaction
+		}
+		c.carryOut(c.graph.Add(pipeline.Job{
+			ID: id, Needs: needs, Submitted: clock.Micros(r.At), Urgency: urgency(r),
+			Run: clock.FromSeconds(r.Job.EstimateS) + startTime,
+		}))
+	}
+}
+
+// blocked tells whether a job that is not over must not start yet.
+func (c *Core) blocked(id string, r *jobRecord) bool {
+	_, whole := c.awaits(id, r)
+	return !whole || c.graph.Blocked(id)
+}
+
+func (c *Core) carryOut(change pipeline.Change) {
+	for _, id := range change.Cancelled {
+		if r := c.view.jobs[id]; r != nil && r.State == "" {
+			r.cancelledWith = true
+			delete(c.counts, id)
+			if c.lead != nil {
+				c.lead.cancelledWith(id)
+			}
+		}
+	}
+	if c.lead == nil {
+		return
+	}
+	for _, id := range change.Released {
+		if r := c.view.jobs[id]; r != nil && !r.over() {
+			c.lead.jobChanged(id, r)
+		}
+	}
+	for _, id := range change.MoreUrgent {
+		c.lead.moreUrgent(id)
+	}
+}
+
+// moreUrgent takes over what has come to be demanded of a job.
+func (l *lead) moreUrgent(id string) {
+	j, r := l.lg.Jobs[id], l.c.view.jobs[id]
+	if j == nil || r == nil || r.Job == nil {
+		return
+	}
+	u := l.c.graph.UrgencyOf(id, urgency(r))
+	j.Priority, j.Deadline = u.Priority, u.Deadline
+	l.dirty = true
+}
+
+// cancelledWith makes the end of a job durable that is cancelled with one that it
+// needs. Users are told without that; it spares later readers the derivation.
+func (l *lead) cancelledWith(id string) {
+	r := l.c.view.jobs[id]
+	if r == nil || r.State != "" {
+		return
+	}
+	over := overRecord(r, wire.JobAborted, clock.Wall())
+	over.Job = nil // it never started
+	value, err := over.MarshalJSON()
+	if err != nil {
+		return
+	}
+	w := &state.Write{
+		Rank: state.Spare,
+		If:   []wire.Condition{{Key: prefixJob + id, Version: r.version}},
+		Then: []wire.Change{{Put: prefixJob + id, Value: value}},
+	}
+	l.write(w, func(o state.Outcome) {
+		if o != state.Committed {
+			l.after(2*clock.Second, func() { l.cancelledWith(id) })
+		}
+	})
+}
+
+// unfitAwaited says why a job can never run for what it awaits, if so.
+func (c *Core) unfitAwaited(j *wire.Job) string {
+	for _, id := range j.Awaits {
+		r := c.view.jobs[id]
+		switch {
+		case id == j.ID || r == nil:
+			return "it awaits a job that was never accepted: " + id
+		case !r.over() && r.Job != nil && r.Job.Kind == wire.KindService:
+			return "it awaits a service, which is never done: " + id
+		}
+	}
+	return ""
+}
+
+// refuseProven answers 422 once the view is new enough to say so: what was accepted,
+// by any controller, is never refused.
+func (c *Core) refuseProven(j *wire.Job, r *server.Reply, why func() string, otherwise func()) {
+	c.view.wantSync(func(err error) {
+		switch rec := c.view.jobs[j.ID]; {
+		case err != nil:
+			later(r, err.Error())
+		case rec != nil:
+			r.Send(200, c.status(j.ID, rec), 0)
+		case why() != "":
+			r.Send(422, server.ErrorBody(why()), 0)
+		default:
+			otherwise()
+		}
+	}, clock.Now()+userWait)
+}
+
+// submissionChanges are the keys of a new job. What it awaits goes into keys of its
+// own where it does not fit into one value; nil: it cannot be stored at all.
+func (c *Core) submissionChanges(rec *jobRecord) []wire.Change {
+	limits := c.cfg.Deployment.State.Effective()
+	most := int(limits.ValueKB * 1024)
+	value, err := rec.MarshalJSON()
+	if err != nil {
+		return nil
+	}
+	key := prefixJob + rec.Job.ID
+	if len(value) <= most {
+		return []wire.Change{{Put: key, Value: value}}
+	}
+	parts := splitAwaits(rec.Job.Awaits, most)
+	if len(parts) == 0 || 1+len(parts) > limits.TxnOps {
+		return nil
+	}
+	job := *rec.Job
+	job.Awaits = nil
+	rec.Job, rec.Parts = &job, len(parts)
+	if value, err = rec.MarshalJSON(); err != nil || len(value) > most {
+		return nil
+	}
+	changes := []wire.Change{}
+	for i, part := range parts {
+		v, err := awaitsRecord{Awaits: part}.MarshalJSON()
+		if err != nil {
+			return nil
+		}
+		changes = append(changes, wire.Change{Put: awaitsKey(job.ID, i), Value: v})
+	}
+	return append(changes, wire.Change{Put: key, Value: value})
+}
+
+// splitAwaits cuts a list so that the value of each part fits.
+func splitAwaits(ids []string, most int) [][]string {
+	const frame, perID = 16, 3 // of the value, and around each id
+	var parts [][]string
+	size := most
+	for _, id := range ids {
+		if size+len(id)+perID > most {
+			parts, size = append(parts, nil), frame
+		}
+		parts[len(parts)-1] = append(parts[len(parts)-1], id)
+		size += len(id) + perID
+	}
+	return parts
+}
--- a/internal/core/promises.go
+++ b/internal/core/promises.go
@@ -126,7 +126,7 @@
 
 func (l *lead) writePromises(w delegation.Promises) {
 	v, err := promisesRecord{Word: w}.MarshalJSON()
-	if err != nil || len(v) > int(l.c.cfg.Deployment.State.ValueKB*1024) {
+	if err != nil || len(v) > int(l.c.cfg.Deployment.State.Effective().ValueKB*1024) {
 		l.c.dropped("what is to be promised is too large for the state service", "bytes", len(v))
 		return
 	}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -15,13 +15,15 @@
 // The layout of the state service. Everything lies under one prefix, so that
 // one watch sees every change in the order of revisions.
 const (
-	prefix       = "firwood/"
-	keyLock      = prefix + "lead"
-	keyTypes     = prefix + "types"
-	keyPromises  = prefix + "word"
-	keyToken     = prefix + "token"
-	prefixJob    = prefix + "job/"
-	prefixDone   = prefix + "done/"
+	prefix      = "firwood/"
+	keyLock     = prefix + "lead"
+	keyTypes    = prefix + "types"
+	keyPromises = prefix + "word"
+	keyToken    = prefix + "token"
+	prefixJob   = prefix + "job/"
+	prefixDone  = prefix + "done/"
+	// prefixAwaits is followed by a job and a number.
+	prefixAwaits = prefix + "needs/"
 	prefixRental = prefix + "hire/"
 	// prefixAsked is followed by a member.
 	prefixAsked = prefix + "asked/"
@@ -61,11 +63,36 @@
 	Tasks    int   `json:"n,omitempty"`
 	Errors   int   `json:"x,omitempty"`
 	Restarts int   `json:"r,omitempty"`
+	// Parts is how many keys beside this one hold what the job awaits: a list that
+	// does not fit into one value.
+	Parts int `json:"p,omitempty"`
+	// Chunk is how many tasks one progress key of the job holds; 0: see chunkOf.
+	Chunk int `json:"k,omitempty"`
+	// Released is the time of day of the end of the last job that it awaited.
+	Released int64 `json:"w,omitempty"`
 
 	version uint64
+	// cancelledWith: a job that this one needs is durably cancelled, so this one is
+	// too, whether or not its own record says so yet.
+	cancelledWith bool
 }
 
-func (r *jobRecord) over() bool { return r.State != "" }
+// over tells whether the job has come to its end, in its own record or with a job
+// that it needs.
+func (r *jobRecord) over() bool { return r.State != "" || r.cancelledWith }
+
+// state is what users are told of a job that is over.
+func (r *jobRecord) state() string {
+	if r.cancelledWith {
+		return wire.JobAborted
+	}
+	return r.State
+}
+
+// awaitsRecord is the value of a key that holds a part of what a job awaits.
+type awaitsRecord struct {
+	Awaits []string `json:"a"`
+}
 
 // rentalRecord is the value of a rental's key. It is written before the request
 // goes out, and again with the names that came back.
@@ -101,7 +128,18 @@
 func doneKey(id string, chunk int) string { return prefixDone + id + "/" + strconv.Itoa(chunk) }
 
 func parseDoneKey(key string) (id string, chunk int, ok bool) {
-	id, c, found := strings.Cut(strings.TrimPrefix(key, prefixDone), "/")
+	return parseNumbered(strings.TrimPrefix(key, prefixDone))
+}
+
+func awaitsKey(id string, part int) string { return prefixAwaits + id + "/" + strconv.Itoa(part) }
+
+func parseAwaitsKey(key string) (id string, part int, ok bool) {
+	return parseNumbered(strings.TrimPrefix(key, prefixAwaits))
+}
+
+// parseNumbered cuts "ID/N".
+func parseNumbered(s string) (id string, chunk int, ok bool) {
+	id, c, found := strings.Cut(s, "/")
 	if !found {
 		return "", 0, false
 	}
@@ -138,6 +176,7 @@
 		// A later leader has to know what the tasks that may still run take.
 		o.Job = r.Job
 	}
+	o.Chunk = r.Chunk
 	if r.Job != nil {
 		o.Class = r.Job.Class
 		o.Tasks = r.Job.Tasks
--- a/internal/core/records_easyjson.go
+++ b/internal/core/records_easyjson.go
@@ -5,7 +5,7 @@
 import (
 	json "encoding/json"
 	clock "firwood.dev/firwood/internal/clock"
-	_delegation "firwood.dev/firwood/internal/delegation"
+	delegation "firwood.dev/firwood/internal/delegation"
 	wire "firwood.dev/firwood/wire"
 	easyjson "github.com/mailru/easyjson"
 	jlexer "github.com/mailru/easyjson/jlexer"
@@ -20,7 +20,168 @@
 	_ easyjson.Marshaler
 )
 
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(in *jlexer.Lexer, out *promisesRecord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(in *jlexer.Lexer, out *rentalRecord) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "t":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Type = string(in.String())
+			}
+		case "z":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Zone = string(in.String())
+			}
+		case "s":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Spot = bool(in.Bool())
+			}
+		case "n":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Count = int(in.Int())
+			}
+		case "at":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.At = int64(in.Int64())
+			}
+		case "ok":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Resolved = bool(in.Bool())
+			}
+		case "m":
+			if in.IsNull() {
+				in.Skip()
+				out.Machines = nil
+			} else {
+				in.Delim('[')
+				if out.Machines == nil {
+					if !in.IsDelim(']') {
+						out.Machines = make([]string, 0, 4)
+					} else {
+						out.Machines = []string{}
+					}
+				} else {
+					out.Machines = (out.Machines)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v1 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v1 = string(in.String())
+					}
+					out.Machines = append(out.Machines, v1)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(out *jwriter.Writer, in rentalRecord) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"t\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Type))
+	}
+	{
+		const prefix string = ",\"z\":"
+		out.RawString(prefix)
+		out.String(string(in.Zone))
+	}
+	if in.Spot {
+		const prefix string = ",\"s\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Spot))
+	}
+	{
+		const prefix string = ",\"n\":"
+		out.RawString(prefix)
+		out.Int(int(in.Count))
+	}
+	{
+		const prefix string = ",\"at\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.At))
+	}
+	if in.Resolved {
+		const prefix string = ",\"ok\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Resolved))
+	}
+	if len(in.Machines) != 0 {
+		const prefix string = ",\"m\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v2, v3 := range in.Machines {
+				if v2 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v3))
+			}
+			out.RawByte(']')
+		}
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v rentalRecord) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v rentalRecord) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *rentalRecord) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *rentalRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(l, v)
+}
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore1(in *jlexer.Lexer, out *promisesRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -46,7 +207,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(out *jwriter.Writer, in promisesRecord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore1(out *jwriter.Writer, in promisesRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -61,27 +222,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v promisesRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(&w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore1(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v promisesRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore(w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore1(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *promisesRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(&r, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore1(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *promisesRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore(l, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore1(l, v)
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalDelegation(in *jlexer.Lexer, out *_delegation.Promises) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalDelegation(in *jlexer.Lexer, out *delegation.Promises) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -101,16 +262,16 @@
 			} else {
 				in.Delim('{')
 				if !in.IsDelim('}') {
-					out.Zones = make(map[string]_delegation.ZonePromise)
+					out.Zones = make(map[string]delegation.ZonePromise)
 				} else {
 					out.Zones = nil
 				}
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v1 _delegation.ZonePromise
-					easyjsonAf922c28DecodeFirwoodDevFirwoodInternalDelegation1(in, &v1)
-					(out.Zones)[key] = v1
+					var v4 delegation.ZonePromise
+					easyjsonAf922c28DecodeFirwoodDevFirwoodInternalDelegation1(in, &v4)
+					(out.Zones)[key] = v4
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -128,13 +289,13 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v2 clock.Micros
+					var v5 clock.Micros
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v2 = clock.Micros(in.Int64())
+						v5 = clock.Micros(in.Int64())
 					}
-					(out.Members)[key] = v2
+					(out.Members)[key] = v5
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -149,7 +310,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalDelegation(out *jwriter.Writer, in _delegation.Promises) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalDelegation(out *jwriter.Writer, in delegation.Promises) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -159,16 +320,16 @@
 		out.RawString(prefix[1:])
 		{
 			out.RawByte('{')
-			v3First := true
-			for v3Name, v3Value := range in.Zones {
-				if v3First {
-					v3First = false
+			v6First := true
+			for v6Name, v6Value := range in.Zones {
+				if v6First {
+					v6First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v3Name))
+				out.String(string(v6Name))
 				out.RawByte(':')
-				easyjsonAf922c28EncodeFirwoodDevFirwoodInternalDelegation1(out, v3Value)
+				easyjsonAf922c28EncodeFirwoodDevFirwoodInternalDelegation1(out, v6Value)
 			}
 			out.RawByte('}')
 		}
@@ -183,23 +344,23 @@
 		}
 		{
 			out.RawByte('{')
-			v4First := true
-			for v4Name, v4Value := range in.Members {
-				if v4First {
-					v4First = false
+			v7First := true
+			for v7Name, v7Value := range in.Members {
+				if v7First {
+					v7First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v4Name))
+				out.String(string(v7Name))
 				out.RawByte(':')
-				out.Int64(int64(v4Value))
+				out.Int64(int64(v7Value))
 			}
 			out.RawByte('}')
 		}
 	}
 	out.RawByte('}')
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalDelegation1(in *jlexer.Lexer, out *_delegation.ZonePromise) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalDelegation1(in *jlexer.Lexer, out *delegation.ZonePromise) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -235,13 +396,13 @@
 					out.By = (out.By)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v5 string
+					var v8 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v5 = string(in.String())
+						v8 = string(in.String())
 					}
-					out.By = append(out.By, v5)
+					out.By = append(out.By, v8)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -256,7 +417,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalDelegation1(out *jwriter.Writer, in _delegation.ZonePromise) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalDelegation1(out *jwriter.Writer, in delegation.ZonePromise) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -270,18 +431,18 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v6, v7 := range in.By {
-				if v6 > 0 {
+			for v9, v10 := range in.By {
+				if v9 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v7))
+				out.String(string(v10))
 			}
 			out.RawByte(']')
 		}
 	}
 	out.RawByte('}')
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore1(in *jlexer.Lexer, out *lockRecord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(in *jlexer.Lexer, out *lockRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -317,7 +478,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore1(out *jwriter.Writer, in lockRecord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore2(out *jwriter.Writer, in lockRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -337,27 +498,27 @@
 // MarshalJSON supports json.Marshaler interface
 func (v lockRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore1(&w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore2(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v lockRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore1(w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore2(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *lockRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore1(&r, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *lockRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore1(l, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(l, v)
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(in *jlexer.Lexer, out *jobRecord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(in *jlexer.Lexer, out *jobRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -439,6 +600,24 @@
 			} else {
 				out.Restarts = int(in.Int())
 			}
+		case "p":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Parts = int(in.Int())
+			}
+		case "k":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Chunk = int(in.Int())
+			}
+		case "w":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Released = int64(in.Int64())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -449,7 +628,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore2(out *jwriter.Writer, in jobRecord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(out *jwriter.Writer, in jobRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -509,33 +688,48 @@
 		out.RawString(prefix)
 		out.Int(int(in.Restarts))
 	}
+	if in.Parts != 0 {
+		const prefix string = ",\"p\":"
+		out.RawString(prefix)
+		out.Int(int(in.Parts))
+	}
+	if in.Chunk != 0 {
+		const prefix string = ",\"k\":"
+		out.RawString(prefix)
+		out.Int(int(in.Chunk))
+	}
+	if in.Released != 0 {
+		const prefix string = ",\"w\":"
+		out.RawString(prefix)
+		out.Int64(int64(in.Released))
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v jobRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore2(&w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v jobRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore2(w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *jobRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(&r, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *jobRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore2(l, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(l, v)
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(in *jlexer.Lexer, out *rentalRecord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore4(in *jlexer.Lexer, out *doneRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -549,68 +743,11 @@
 		key := in.UnsafeFieldName(false)
 		in.WantColon()
 		switch key {
-		case "t":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Type = string(in.String())
-			}
-		case "z":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Zone = string(in.String())
-			}
-		case "s":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Spot = bool(in.Bool())
-			}
-		case "n":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.Count = int(in.Int())
-			}
-		case "at":
-			if in.IsNull() {
-				in.Skip()
-			} else {
-				out.At = int64(in.Int64())
-			}
-		case "ok":
+		case "b":
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Resolved = bool(in.Bool())
-			}
-		case "m":
-			if in.IsNull() {
-				in.Skip()
-				out.Machines = nil
-			} else {
-				in.Delim('[')
-				if out.Machines == nil {
-					if !in.IsDelim(']') {
-						out.Machines = make([]string, 0, 4)
-					} else {
-						out.Machines = []string{}
-					}
-				} else {
-					out.Machines = (out.Machines)[:0]
-				}
-				for !in.IsDelim(']') {
-					var v8 string
-					if in.IsNull() {
-						in.Skip()
-					} else {
-						v8 = string(in.String())
-					}
-					out.Machines = append(out.Machines, v8)
-					in.WantComma()
-				}
-				in.Delim(']')
+				out.Bits = string(in.String())
 			}
 		default:
 			in.SkipRecursive()
@@ -622,81 +759,42 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(out *jwriter.Writer, in rentalRecord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore4(out *jwriter.Writer, in doneRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
 	{
-		const prefix string = ",\"t\":"
+		const prefix string = ",\"b\":"
 		out.RawString(prefix[1:])
-		out.String(string(in.Type))
-	}
-	{
-		const prefix string = ",\"z\":"
-		out.RawString(prefix)
-		out.String(string(in.Zone))
-	}
-	if in.Spot {
-		const prefix string = ",\"s\":"
-		out.RawString(prefix)
-		out.Bool(bool(in.Spot))
-	}
-	{
-		const prefix string = ",\"n\":"
-		out.RawString(prefix)
-		out.Int(int(in.Count))
-	}
-	{
-		const prefix string = ",\"at\":"
-		out.RawString(prefix)
-		out.Int64(int64(in.At))
-	}
-	if in.Resolved {
-		const prefix string = ",\"ok\":"
-		out.RawString(prefix)
-		out.Bool(bool(in.Resolved))
-	}
-	if len(in.Machines) != 0 {
-		const prefix string = ",\"m\":"
-		out.RawString(prefix)
-		{
-			out.RawByte('[')
-			for v9, v10 := range in.Machines {
-				if v9 > 0 {
-					out.RawByte(',')
-				}
-				out.String(string(v10))
-			}
-			out.RawByte(']')
-		}
+		out.String(string(in.Bits))
 	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
-func (v rentalRecord) MarshalJSON() ([]byte, error) {
+func (v doneRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(&w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore4(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
-func (v rentalRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore3(w, v)
+func (v doneRecord) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore4(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
-func (v *rentalRecord) UnmarshalJSON(data []byte) error {
+func (v *doneRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(&r, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore4(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
-func (v *rentalRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore3(l, v)
+func (v *doneRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore4(l, v)
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore4(in *jlexer.Lexer, out *doneRecord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore5(in *jlexer.Lexer, out *awaitsRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -710,11 +808,32 @@
 		key := in.UnsafeFieldName(false)
 		in.WantColon()
 		switch key {
-		case "b":
+		case "a":
 			if in.IsNull() {
 				in.Skip()
+				out.Awaits = nil
 			} else {
-				out.Bits = string(in.String())
+				in.Delim('[')
+				if out.Awaits == nil {
+					if !in.IsDelim(']') {
+						out.Awaits = make([]string, 0, 4)
+					} else {
+						out.Awaits = []string{}
+					}
+				} else {
+					out.Awaits = (out.Awaits)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v11 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v11 = string(in.String())
+					}
+					out.Awaits = append(out.Awaits, v11)
+					in.WantComma()
+				}
+				in.Delim(']')
 			}
 		default:
 			in.SkipRecursive()
@@ -726,42 +845,53 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore4(out *jwriter.Writer, in doneRecord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore5(out *jwriter.Writer, in awaitsRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
 	{
-		const prefix string = ",\"b\":"
+		const prefix string = ",\"a\":"
 		out.RawString(prefix[1:])
-		out.String(string(in.Bits))
+		if in.Awaits == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+			out.RawString("null")
+		} else {
+			out.RawByte('[')
+			for v12, v13 := range in.Awaits {
+				if v12 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v13))
+			}
+			out.RawByte(']')
+		}
 	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
-func (v doneRecord) MarshalJSON() ([]byte, error) {
+func (v awaitsRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore4(&w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore5(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
-func (v doneRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore4(w, v)
+func (v awaitsRecord) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore5(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
-func (v *doneRecord) UnmarshalJSON(data []byte) error {
+func (v *awaitsRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore4(&r, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore5(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
-func (v *doneRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore4(l, v)
+func (v *awaitsRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore5(l, v)
 }
-func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore5(in *jlexer.Lexer, out *askedRecord) {
+func easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore6(in *jlexer.Lexer, out *askedRecord) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -797,7 +927,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore5(out *jwriter.Writer, in askedRecord) {
+func easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore6(out *jwriter.Writer, in askedRecord) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -817,23 +947,23 @@
 // MarshalJSON supports json.Marshaler interface
 func (v askedRecord) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore5(&w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore6(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v askedRecord) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore5(w, v)
+	easyjsonAf922c28EncodeFirwoodDevFirwoodInternalCore6(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *askedRecord) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore5(&r, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore6(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *askedRecord) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore5(l, v)
+	easyjsonAf922c28DecodeFirwoodDevFirwoodInternalCore6(l, v)
 }
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -28,7 +28,7 @@
 // or so, and the two records of each within the rate of writes.
 func (l *lead) rentalsAtOnce() int {
 	d := &l.c.cfg.Deployment
-	return max(int(min(2*d.Cloud.RPS, d.State.WriteRPS/4)), 2)
+	return max(int(min(2*d.Cloud.RPS, d.State.Effective().WriteRPS/4)), 2)
 }
 
 // rent begins a rental: its record comes first, so that whoever leads next knows
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -104,18 +104,12 @@
 		return
 	}
 	if why := c.refusal(j); why != "" {
-		// What was accepted is never refused later, so this answer too has to
-		// rest on a view that is new enough.
-		c.view.wantSync(func(err error) {
-			switch {
-			case err != nil:
-				later(r, err.Error())
-			case c.view.jobs[j.ID] != nil:
-				r.Send(200, c.status(j.ID, c.view.jobs[j.ID]), 0)
-			default:
-				r.Send(422, server.ErrorBody(why), 0)
-			}
-		}, clock.Now()+userWait)
+		c.refuseProven(j, r, func() string { return why }, nil)
+		return
+	}
+	if c.unfitAwaited(j) != "" {
+		// Another controller may have accepted them a moment ago.
+		c.refuseProven(j, r, func() string { return c.unfitAwaited(j) }, func() { c.submit(j, r) })
 		return
 	}
 	if waiting, ok := c.submitting[j.ID]; ok {
@@ -123,9 +117,12 @@
 		return
 	}
 	rec := &jobRecord{Job: j, At: int64(clock.Wall())}
-	value, err := rec.MarshalJSON()
-	if err != nil || len(value) > int(c.cfg.Deployment.State.ValueKB*1024) {
-		r.Send(422, server.ErrorBody("the job's description is too large"), 0)
+	if chunk := chunkOf(c.cfg.Deployment.State.Effective().ValueKB); j.Tasks > chunk && chunk != c.chunk {
+		rec.Chunk = chunk
+	}
+	changes := c.submissionChanges(rec)
+	if changes == nil {
+		c.refuseProven(j, r, func() string { return "the job's description is too large" }, nil)
 		return
 	}
 	if c.refused(r) {
@@ -134,19 +131,30 @@
 	c.submitting[j.ID] = []*server.Reply{r}
 	w := &state.Write{
 		If:       []wire.Condition{{Key: prefixJob + j.ID}},
-		Then:     []wire.Change{{Put: prefixJob + j.ID, Value: value}},
+		Then:     changes,
 		Deadline: clock.Now() + submitWait,
 	}
-	w.Done = func(o state.Outcome, rev uint64) { c.post(func() { c.submitted(j.ID, rec, o, rev) }) }
+	w.Done = func(o state.Outcome, rev uint64) { c.post(func() { c.submitted(j, rec, o, rev) }) }
 	if !c.store.Commit(w) {
 		delete(c.submitting, j.ID)
 		c.full(r)
 	}
 }
 
-func (c *Core) submitted(id string, rec *jobRecord, o state.Outcome, rev uint64) {
+func (c *Core) submitted(j *wire.Job, rec *jobRecord, o state.Outcome, rev uint64) {
+	id := j.ID
 	waiting := c.submitting[id]
 	delete(c.submitting, id)
+	if o == state.Committed && c.view.jobs[id] == nil {
+		// The watch will bring it; a leader need not wait for that.
+		rec.version = rev
+		if rec.Parts > 0 {
+			for part, ids := range splitAwaits(j.Awaits, int(c.cfg.Deployment.State.Effective().ValueKB*1024)) {
+				c.setAwaits(id, part, ids)
+			}
+		}
+		c.setJob(id, rec)
+	}
 	for i, r := range waiting {
 		switch o {
 		case state.Committed:
@@ -154,18 +162,17 @@
 			if i > 0 {
 				status = 200
 			}
-			r.Send(status, statusBody(id, wire.JobPending, nil, nil), 0)
+			stage := wire.JobPending
+			if cur := c.view.jobs[id]; cur.over() {
+				stage = cur.state() // with a job that it awaits
+			}
+			r.Send(status, statusBody(id, stage, nil, nil), 0)
 		case state.Conflict:
 			c.show(id, r)
 		default:
 			later(r, "the state service did not take it")
 		}
 	}
-	if o == state.Committed && c.view.jobs[id] == nil {
-		// The watch will bring it; a leader need not wait for that.
-		rec.version = rev
-		c.setJob(id, rec)
-	}
 }
 
 func statusBody(id, st string, done, running *int) []byte {
@@ -179,7 +186,7 @@
 // status is what a user is told, from a view that is new enough.
 func (c *Core) status(id string, rec *jobRecord) []byte {
 	if rec.over() {
-		return statusBody(id, rec.State, nil, nil)
+		return statusBody(id, rec.state(), nil, nil)
 	}
 	var done, running int
 	if c.lead != nil {
@@ -189,13 +196,22 @@
 	} else if n, ok := c.counts[id]; ok {
 		done, running = int(n.Done), int(n.Running)
 	}
-	st := wire.JobPending
+	st := wire.JobStatus{ID: id, State: wire.JobPending, Done: &done, Running: &running}
 	if running > 0 {
-		st = wire.JobRunning
+		st.State = wire.JobRunning
+	}
+	awaited := c.graph.Awaited(id)
+	st.Awaits = awaited[:min(len(awaited), mostAwaitedShown)]
+	body, err := st.MarshalJSON()
+	if err != nil {
+		return []byte("{}")
 	}
-	return statusBody(id, st, &done, &running)
+	return body
 }
 
+// mostAwaitedShown bounds how many jobs a status lists that the job awaits.
+const mostAwaitedShown = 50
+
 func (c *Core) show(id string, r *server.Reply) {
 	if rec := c.view.jobs[id]; rec != nil && rec.over() {
 		r.Send(200, c.status(id, rec), 0) // final, so it cannot be overtaken
@@ -513,7 +529,7 @@
 	now := int64(clock.Wall())
 	m := MorningReport{Member: c.cfg.Member, Jobs: len(c.view.jobs), Troubles: []Trouble{}}
 	for id, rec := range c.view.jobs {
-		switch rec.State {
+		switch rec.state() {
 		case wire.JobDone:
 			m.Done++
 		case wire.JobAborted:
@@ -580,14 +596,18 @@
 		}
 	}
 	if aim := c.lateAfter(t.Class); due == 0 && aim > 0 {
-		due = rec.At + int64(aim)
+		due = max(rec.At, rec.Released) + int64(aim)
 	}
-	if rec.State == wire.JobAborted {
+	if rec.state() == wire.JobAborted {
 		return t, false
 	}
 	t.TookS = clock.Micros(end - rec.At).Seconds()
-	if first > rec.At {
-		t.WaitedS = clock.Micros(first - rec.At).Seconds()
+	released := max(rec.At, rec.Released)
+	if !rec.over() {
+		released = int64(c.graph.ReleasedAt(id, clock.Micros(rec.At)))
+	}
+	if first > released {
+		t.WaitedS = clock.Micros(first - released).Seconds()
 	}
 	if due > 0 && end > due {
 		t.Late, t.LateByS = true, clock.Micros(end-due).Seconds()
@@ -597,6 +617,10 @@
 		t.Why = "tasks failed with an error and were started again"
 	case t.Restarts > 0:
 		t.Why = "tasks were lost with their machines and were started again"
+	case !rec.over() && c.graph.Blocked(id):
+		t.Why = "waits for " + c.graph.Awaited(id)[0]
+	case t.Late && clock.Micros(released-rec.At).Seconds() > t.TookS/2:
+		t.Why = "waited for jobs before it in its pipeline"
 	case first == 0 && !rec.over() && c.view.done[id] == nil:
 		t.Why = "no task has started yet"
 	case t.Late && t.WaitedS > t.TookS/2:
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -16,10 +16,12 @@
 // behind by guess: an answer to a user that could be overtaken waits for a
 // watch that was opened after the question came, and so proves its revision.
 type view struct {
-	loaded  bool
-	rev     uint64
-	jobs    map[string]*jobRecord
-	done    map[string]map[int]bitmap
+	loaded bool
+	rev    uint64
+	jobs   map[string]*jobRecord
+	done   map[string]map[int]bitmap
+	// awaits are the parts of what jobs await, where those have keys of their own.
+	awaits  map[string]map[int][]string
 	rentals map[string]*rentalRecord
 	lock    election.Lock
 	// promises are those of leaders, with its version.
@@ -53,6 +55,7 @@
 func (v *view) init() {
 	v.jobs = map[string]*jobRecord{}
 	v.done = map[string]map[int]bitmap{}
+	v.awaits = map[string]map[int][]string{}
 	v.rentals = map[string]*rentalRecord{}
 }
 
@@ -268,6 +271,14 @@
 			return
 		}
 		c.setJob(id, r)
+	case strings.HasPrefix(key, prefixAwaits):
+		id, part, ok := parseAwaitsKey(key)
+		var r awaitsRecord
+		if err := r.UnmarshalJSON(value); err != nil || !ok {
+			c.malformed(key, err)
+			return
+		}
+		c.setAwaits(id, part, r.Awaits)
 	case strings.HasPrefix(key, prefixDone):
 		id, chunk, ok := parseDoneKey(key)
 		var r doneRecord
@@ -302,11 +313,26 @@
 		delete(c.counts, id)
 	}
 	c.withdrawals.add(id, r, clock.Now(), clock.Wall())
+	r.cancelledWith = r.State == "" && c.graph.Cancelled(id)
+	c.follow(id, r)
 	if c.lead != nil {
 		c.lead.jobChanged(id, r)
 	}
 }
 
+// setAwaits takes a part of what a job awaits; its record may have come before.
+func (c *Core) setAwaits(id string, part int, ids []string) {
+	parts := c.view.awaits[id]
+	if parts == nil {
+		parts = map[int][]string{}
+		c.view.awaits[id] = parts
+	}
+	parts[part] = ids
+	if r := c.view.jobs[id]; r != nil && !r.over() && len(parts) == r.Parts {
+		c.setJob(id, r)
+	}
+}
+
 func (c *Core) drop(key string) {
 	v := &c.view
 	switch {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -110,10 +110,15 @@
 
 // Job is an accepted job that is not over, or whose tasks are not all gone.
 type Job struct {
-	Spec        *wire.Job
-	Need        Resources
-	Priority    int
-	Submitted   clock.Micros // time of day
+	Spec     *wire.Job
+	Need     Resources
+	Priority int
+	// Submitted is the time of day from which its waits count: its submission, or
+	// the end of the last job that it awaited.
+	Submitted clock.Micros
+	// Deadline is the time of day by which it should be done, by its own wish or
+	// for those that await it; 0: there is none.
+	Deadline    clock.Micros
 	Seen        clock.Micros // steady clock, when this leader learnt of it
 	Withdrawn   bool
 	WithdrawnAt clock.Micros
--- a/internal/planner/queue.go
+++ b/internal/planner/queue.go
@@ -171,12 +171,15 @@
 	return waves * run
 }
 
-// due is when a job should be done, in seconds from its submission; 0: no such
-// time.
+// due is when a job should be done, in seconds from the moment from which its waits
+// count; 0: no such time.
 func (pl *Planner) due(j *ledger.Job) float64 {
+	const alreadyLate = 0.001 // its time was over before it could start
 	switch {
 	case j.Service():
 		return 0
+	case j.Deadline > 0:
+		return max((j.Deadline - j.Submitted).Seconds(), alreadyLate)
 	case j.Spec.DeadlineS > 0:
 		return j.Spec.DeadlineS
 	}
--- a/internal/protocoltest/checker.go
+++ b/internal/protocoltest/checker.go
@@ -25,6 +25,8 @@
 	Invented     Rule = "invented"
 	NotDone      Rule = "not_done"
 	WentBack     Rule = "went_back"
+	TooEarly     Rule = "too_early"
+	Orphaned     Rule = "orphaned"
 )
 
 // Violation is a broken rule.
@@ -142,15 +144,59 @@
 			c.broken(NotDone, "%s: %d of %d tasks are done", id, len(j.done), j.spec.Tasks)
 		}
 	case wire.JobAborted:
-		if !j.cancelAsked {
+		if !c.cancelAskedBefore(j) {
 			c.broken(WentBack, "%s is called cancelled, which its user did not ask for", id)
 		}
 	default:
+		if at, cancelled := c.cancelledBefore(j); cancelled && askedAt.Sub(at) > c.cfg.Cancellation {
+			c.broken(Orphaned, "%s is called %s %v after a job that it needs was cancelled", id, stage, askedAt.Sub(at))
+		}
 		return
 	}
 	j.final, j.finalAt = stage, time.Now()
 }
 
+// before calls f for every job that a job needs, directly or through others, until
+// it returns true.
+func (c *Checker) before(j *job, f func(*job) bool) bool {
+	for _, id := range j.spec.Awaits {
+		if needed := c.jobs[id]; needed != nil && (f(needed) || c.before(needed, f)) {
+			return true
+		}
+	}
+	return false
+}
+
+// cancelAskedBefore tells whether a user asked for a job, or one that it needs, to be
+// cancelled.
+func (c *Checker) cancelAskedBefore(j *job) bool {
+	return j.cancelAsked || c.before(j, func(needed *job) bool { return needed.cancelAsked })
+}
+
+// cancelledBefore tells when a user was told that a job which this one needs is
+// cancelled.
+func (c *Checker) cancelledBefore(j *job) (at time.Time, cancelled bool) {
+	cancelled = c.before(j, func(needed *job) bool {
+		at = needed.finalAt
+		return needed.final == wire.JobAborted
+	})
+	return at, cancelled
+}
+
+// Accepted lists the jobs that users were told to be accepted.
+func (c *Checker) Accepted() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []string
+	for id, j := range c.jobs {
+		if j.accepted {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Denied notes that a request sent at an instant was answered as if the job could
 // not be: 404 to a question, 400 or 422 to a submission.
 func (c *Checker) Denied(id string, status int, askedAt time.Time) {
@@ -176,6 +222,11 @@
 		c.broken(RanTwice, "%s starts on %s while on %s", task, m.ID, other.ID)
 	}
 	c.place(j, m, task)
+	for _, need := range j.spec.Awaits {
+		if needed := c.jobs[need]; needed == nil || len(needed.done) < needed.spec.Tasks {
+			c.broken(TooEarly, "%s starts before %s is done", task, need)
+		}
+	}
 	j.on[index] = m
 	c.quota(j.spec.Team)
 	if j.final == wire.JobAborted {
--- a/internal/protocoltest/checker_test.go
+++ b/internal/protocoltest/checker_test.go
@@ -118,6 +118,34 @@
 			c.told(wire.JobRunning)
 		}},
 		{"cancelled without being asked", WentBack, func(c course) { c.told(wire.JobAborted) }},
+		{"started before what it needs", TooEarly, func(c course) {
+			c.Submitted(&wire.Job{ID: "req-000002", Team: "a", Kind: wire.KindArray, Tasks: 1, Awaits: []string{jobID}})
+			c.Started(machine("i-1", "x"), first)
+			c.Ended("i-1", first, wire.WhyDone)
+			c.Started(machine("i-1", "x"), "req-000002/0")
+		}},
+		{"started after what it needs", "", func(c course) {
+			c.Submitted(&wire.Job{ID: "req-000002", Team: "a", Kind: wire.KindArray, Tasks: 1, Awaits: []string{jobID}})
+			for _, task := range []string{first, second} {
+				c.Started(machine("i-1", "x"), task)
+				c.Ended("i-1", task, wire.WhyDone)
+			}
+			c.Started(machine("i-1", "x"), "req-000002/0")
+		}},
+		{"cancelled with what it needs", "", func(c course) {
+			c.Submitted(&wire.Job{ID: "req-000002", Team: "a", Kind: wire.KindArray, Tasks: 1, Awaits: []string{jobID}})
+			c.cancelled()
+			c.Told("req-000002", wire.JobPending, time.Now())
+			time.Sleep(11 * time.Second)
+			c.Told("req-000002", wire.JobAborted, time.Now())
+		}},
+		{"not cancelled with what it needs", Orphaned, func(c course) {
+			c.Submitted(&wire.Job{ID: "req-000002", Team: "a", Kind: wire.KindArray, Tasks: 1, Awaits: []string{"req-000003"}})
+			c.Submitted(&wire.Job{ID: "req-000003", Team: "a", Kind: wire.KindArray, Tasks: 1, Awaits: []string{jobID}})
+			c.cancelled()
+			time.Sleep(11 * time.Second)
+			c.Told("req-000002", wire.JobPending, time.Now())
+		}},
 		{"a question that was on its way", "", func(c course) {
 			asked := time.Now()
 			c.cancelled()
--- a/internal/sim/random_test.go
+++ b/internal/sim/random_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	jobs []*wire.Job
 	// cancelled are jobs that users have called off.
 	cancelled map[string]bool
+	// gone are jobs that are cancelled with others.
+	gone map[string]bool
 	// ends are when the troubles under way are over.
 	lastEnd time.Time
 	copies  [][]byte
@@ -63,6 +66,15 @@
 			j.OneZone = true
 		}
 	}
+	if accepted := h.Checker.Accepted(); j.Kind == wire.KindArray && len(accepted) > 0 && h.rng.IntN(2) == 0 {
+		for range 1 + h.rng.IntN(2) {
+			if id := h.pick(accepted); !h.Checker.IsService(id) {
+				j.Awaits = append(j.Awaits, id)
+			}
+		}
+		slices.Sort(j.Awaits)
+		j.Awaits = slices.Compact(j.Awaits)
+	}
 	h.jobs = append(h.jobs, j)
 	h.async(func(node string) bool { return h.Submit(node, j).Stage() != "" })
 }
@@ -194,6 +206,11 @@
 	}
 }
 
+// goneWith tells whether what needs a job is cancelled with it.
+func (h *history) goneWith(id string) bool {
+	return h.gone[id] || h.cancelled[id] && h.Poll("n1", id).Stage() == wire.JobAborted
+}
+
 // settle waits until the troubles are over, and checks that every accepted job that
 // was not cancelled comes to its end or runs, and is known.
 func (h *history) settle() {
@@ -209,7 +226,11 @@
 		}
 	}
 	for _, j := range h.jobs {
-		if h.cancelled[j.ID] {
+		if h.cancelled[j.ID] || slices.ContainsFunc(j.Awaits, h.goneWith) {
+			h.gone[j.ID] = h.gone[j.ID] || slices.ContainsFunc(j.Awaits, h.goneWith)
+			if h.gone[j.ID] {
+				h.UntilStage(h.pick(h.Nodes()), j.ID, wire.JobAborted, 10*time.Second)
+			}
 			continue
 		}
 		stage := wire.JobDone
@@ -239,7 +260,7 @@
 			}
 			Run(t, options, func(c *Cluster) {
 				h := &history{
-					Cluster: c, rng: rand.New(rand.NewPCG(seed, 7)), cancelled: map[string]bool{}, told: make(chan struct{}, 1000),
+					Cluster: c, rng: rand.New(rand.NewPCG(seed, 7)), cancelled: map[string]bool{}, gone: map[string]bool{}, told: make(chan struct{}, 1000),
 				}
 				for range 60 {
 					time.Sleep(h.seconds(0, 6))
--- a/wire/job.go
+++ b/wire/job.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -66,6 +67,9 @@
 	CheckpointS float64  `json:"markS"`
 	SaveS       float64  `json:"stashS"`
 	DeadlineS   float64  `json:"dueS,omitempty"`
+	// Awaits are the jobs that have to be done before any task of this one starts,
+	// each once.
+	Awaits []string `json:"awaits,omitempty"`
 }
 
 // submission mirrors Job with every field optional, so that a missing field
@@ -91,6 +95,7 @@
 	CheckpointS *float64  `json:"markS"`
 	SaveS       *float64  `json:"stashS"`
 	DeadlineS   *float64  `json:"dueS"`
+	Awaits      []string  `json:"awaits"`
 }
 
 // JobStatus is what users are told of a job.
@@ -99,6 +104,8 @@
 	State   string `json:"stage"`
 	Done    *int   `json:"done,omitempty"`
 	Running *int   `json:"running,omitempty"`
+	// Awaits are jobs that have to be done before this one starts.
+	Awaits []string `json:"awaits,omitempty"`
 }
 
 // ErrorBody is the body of a refusal.
@@ -232,6 +239,13 @@
 		}
 		j.DeadlineS = *s.DeadlineS
 	}
+	for _, id := range s.Awaits {
+		if !ValidJobID(id) {
+			return nil, errors.New("awaits holds what has not the form of a job id")
+		}
+	}
+	slices.Sort(s.Awaits)
+	j.Awaits = slices.Compact(s.Awaits)
 	return j, nil
 }
 
--- a/wire/job_easyjson.go
+++ b/wire/job_easyjson.go
@@ -332,6 +332,33 @@
 					*out.DeadlineS = float64(in.Float64())
 				}
 			}
+		case "awaits":
+			if in.IsNull() {
+				in.Skip()
+				out.Awaits = nil
+			} else {
+				in.Delim('[')
+				if out.Awaits == nil {
+					if !in.IsDelim(']') {
+						out.Awaits = make([]string, 0, 4)
+					} else {
+						out.Awaits = []string{}
+					}
+				} else {
+					out.Awaits = (out.Awaits)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v2 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v2 = string(in.String())
+					}
+					out.Awaits = append(out.Awaits, v2)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -455,11 +482,11 @@
 				out.RawString("null")
 			} else {
 				out.RawByte('[')
-				for v2, v3 := range *in.Types {
-					if v2 > 0 {
+				for v3, v4 := range *in.Types {
+					if v3 > 0 {
 						out.RawByte(',')
 					}
-					out.String(string(v3))
+					out.String(string(v4))
 				}
 				out.RawByte(']')
 			}
@@ -537,6 +564,22 @@
 			out.Float64(float64(*in.DeadlineS))
 		}
 	}
+	{
+		const prefix string = ",\"awaits\":"
+		out.RawString(prefix)
+		if in.Awaits == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+			out.RawString("null")
+		} else {
+			out.RawByte('[')
+			for v5, v6 := range in.Awaits {
+				if v5 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v6))
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
@@ -617,6 +660,33 @@
 					*out.Running = int(in.Int())
 				}
 			}
+		case "awaits":
+			if in.IsNull() {
+				in.Skip()
+				out.Awaits = nil
+			} else {
+				in.Delim('[')
+				if out.Awaits == nil {
+					if !in.IsDelim(']') {
+						out.Awaits = make([]string, 0, 4)
+					} else {
+						out.Awaits = []string{}
+					}
+				} else {
+					out.Awaits = (out.Awaits)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v7 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v7 = string(in.String())
+					}
+					out.Awaits = append(out.Awaits, v7)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -651,6 +721,20 @@
 		out.RawString(prefix)
 		out.Int(int(*in.Running))
 	}
+	if len(in.Awaits) != 0 {
+		const prefix string = ",\"awaits\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v8, v9 := range in.Awaits {
+				if v8 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v9))
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
@@ -773,13 +857,13 @@
 					out.Types = (out.Types)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v4 string
+					var v10 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v4 = string(in.String())
+						v10 = string(in.String())
 					}
-					out.Types = append(out.Types, v4)
+					out.Types = append(out.Types, v10)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -832,6 +916,33 @@
 			} else {
 				out.DeadlineS = float64(in.Float64())
 			}
+		case "awaits":
+			if in.IsNull() {
+				in.Skip()
+				out.Awaits = nil
+			} else {
+				in.Delim('[')
+				if out.Awaits == nil {
+					if !in.IsDelim(']') {
+						out.Awaits = make([]string, 0, 4)
+					} else {
+						out.Awaits = []string{}
+					}
+				} else {
+					out.Awaits = (out.Awaits)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v11 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v11 = string(in.String())
+					}
+					out.Awaits = append(out.Awaits, v11)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -906,11 +1017,11 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v5, v6 := range in.Types {
-				if v5 > 0 {
+			for v12, v13 := range in.Types {
+				if v12 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v6))
+				out.String(string(v13))
 			}
 			out.RawByte(']')
 		}
@@ -955,6 +1066,20 @@
 		out.RawString(prefix)
 		out.Float64(float64(in.DeadlineS))
 	}
+	if len(in.Awaits) != 0 {
+		const prefix string = ",\"awaits\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v14, v15 := range in.Awaits {
+				if v14 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v15))
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
