--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -32,6 +32,10 @@
 		{"deployment.workers.lease_s", `"x"`, "deployment.workers.lease_s"},
 		{"deployment.state.txn_ops", `0`, "deployment.state.txn_ops"},
 		{"deployment.limits.max_sockets", `3`, "deployment.limits.max_sockets"},
+		{"deployment.state.next", `{"value_kb":0.5}`, "deployment.state.next.value_kb"},
+		{"deployment.state.next", `{"write_rps":-1}`, "deployment.state.next.write_rps"},
+		{"deployment.state.next", `{"txn_ops":-1}`, "deployment.state.next.txn_ops"},
+		{"deployment.state.next", `[]`, "deployment.state.next"},
 	} {
 		var doc any
 		if err := json.Unmarshal([]byte(platform), &doc); err != nil {
@@ -135,3 +139,16 @@
 "workers":{"report_s":1.5,"lease_s":10,"gang_wait_s":45,"gang_peer_s":6,"cancel_s":35},
 "state":{"rps":200,"write_rps":20,"value_kb":8,"txn_ops":24},"cloud":{"rps":8,"list_lag_s":3},
 "limits":{"cores":0.12,"ram_mb":98,"max_sockets":900},"clock_error_ms":100}}`
+
+// What is kept to is the smaller of each limit in force and to come.
+func TestEffectiveLimits(t *testing.T) {
+	now := State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 48}
+	if got := now.Effective(); got != now {
+		t.Errorf("without limits to come: %+v", got)
+	}
+	later := now
+	later.Next = &NextState{WriteRPS: 56, ValueKB: 2, TxnOps: 96}
+	if got, want := later.Effective(), (State{RPS: 200, WriteRPS: 56, ValueKB: 2, TxnOps: 48}); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
--- /dev/null
+++ b/internal/core/versions_test.go
@@ -0,0 +1,99 @@
+package core
+
+import (
+	"encoding/json"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"firwood.dev/firwood/wire"
+)
+
+// productionRecord has the fields of a job's record that the version in production
+// knows; it ignores others, and rewrites a record with these alone.
+type productionRecord struct {
+	Job      *productionJob `json:"j,omitempty"`
+	At       int64          `json:"at"`
+	State    string         `json:"s,omitempty"`
+	Class    string         `json:"c,omitempty"`
+	End      int64          `json:"e,omitempty"`
+	Due      int64          `json:"d,omitempty"`
+	First    int64          `json:"f,omitempty"`
+	Tasks    int            `json:"n,omitempty"`
+	Errors   int            `json:"x,omitempty"`
+	Restarts int            `json:"r,omitempty"`
+}
+
+type productionJob struct {
+	ID        string  `json:"nameId"`
+	Class     string  `json:"lot"`
+	Team      string  `json:"crew"`
+	Kind      string  `json:"shape"`
+	Priority  string  `json:"rank"`
+	Tasks     int     `json:"pieces"`
+	CPUs      float64 `json:"cores"`
+	EstimateS float64 `json:"guessS"`
+	DeadlineS float64 `json:"dueS,omitempty"`
+}
+
+// The records that the version in production has written are read as they were
+// meant: an active job, a withdrawn one whose tasks may be about, one that is done.
+func TestProductionRecords(t *testing.T) {
+	text, err := os.ReadFile("testdata/records-production.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	wantStates := []string{"", wire.JobAborted, wire.JobDone}
+	if len(lines) != len(wantStates) {
+		t.Fatalf("%d records", len(lines))
+	}
+	for i, line := range lines {
+		r := &jobRecord{}
+		if err := r.UnmarshalJSON([]byte(line)); err != nil {
+			t.Fatal(err)
+		}
+		if r.State != wantStates[i] || r.At != 1700000000000000 || (r.Job == nil) != (i == 2) {
+			t.Errorf("%s is read as %+v", line, r)
+		}
+		if r.Job != nil && (r.Job.Tasks != 20 || r.Job.Priority != wire.PriorityNormal || r.Job.Awaits != nil) {
+			t.Errorf("its job is read as %+v", r.Job)
+		}
+		written, err := r.MarshalJSON()
+		if err != nil || string(written) != line {
+			t.Errorf("%s is written as %s", line, written)
+		}
+	}
+}
+
+// The version in production reads what this one writes, the new fields left out.
+func TestRecordsForProduction(t *testing.T) {
+	job := &wire.Job{
+		ID: "req-000007", Class: "c", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityLow, Tasks: 3, CPUs: 2, EstimateS: 9, DeadlineS: 60,
+		Awaits: []string{"req-000001", "req-000002"},
+	}
+	r := &jobRecord{Job: job, At: 5, Parts: 2, Chunk: 100, Released: 6}
+	value, err := r.MarshalJSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got productionRecord
+	if err := json.Unmarshal(value, &got); err != nil {
+		t.Fatal(err)
+	}
+	want := productionRecord{At: 5, Job: &productionJob{
+		ID: "req-000007", Class: "c", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityLow, Tasks: 3, CPUs: 2, EstimateS: 9, DeadlineS: 60,
+	}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("read as %+v", got)
+	}
+	// What a job awaits lies in a key that the other version passes over.
+	if strings.HasPrefix(awaitsKey("req-000007", 0), prefixJob) || strings.HasPrefix(awaitsKey("req-000007", 0), prefixDone) {
+		t.Error("the key is taken for another kind")
+	}
+	// Jobs whose progress fits one key in both versions have the same layout.
+	if chunk := chunkOf(2); chunk < 10000 || chunk >= chunkOf(16) {
+		t.Errorf("%d tasks in a key", chunk)
+	}
+}
--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -37,6 +37,8 @@
 	RunFor, Boot time.Duration
 	// WriteRPS is the state service's rate of changes.
 	WriteRPS float64
+	// Next are the limits of the state service to come.
+	Next *config.NextState
 	// Log, if set, gets what controllers log.
 	Log *slog.Logger
 }
@@ -168,7 +170,7 @@
 		ReportS: c.options.ReportEvery.Seconds(), LeaseS: c.options.Lease.Seconds(),
 		GangWaitS: 30, GangPeerS: 8, CancelS: c.options.Cancellation.Seconds(),
 	}
-	d.State = config.State{RPS: 200, WriteRPS: c.options.WriteRPS, ValueKB: 8, TxnOps: 24}
+	d.State = config.State{RPS: 200, WriteRPS: c.options.WriteRPS, ValueKB: 8, TxnOps: 24, Next: c.options.Next}
 	d.Cloud = config.Cloud{RPS: 10, ListLagS: 1}
 	d.Limits = config.Limits{Cores: 1, RAMMB: 200, MaxSockets: 900}
 	d.ClockErrorMs = 5
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -143,3 +143,5 @@
 	c.t.Helper()
 	c.Until(id+" is cancelled", time.Minute, func() bool { return c.Cancel(name, id).Status == 200 })
 }
+
+func unmarshal(text string, v any) error { return json.Unmarshal([]byte(text), v) }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -21,20 +21,52 @@
 type State struct {
 	Addr string
 
-	mu     sync.Mutex
-	cond   *sync.Cond
-	rev    uint64
-	keys   map[string]*entry
-	log    []logged
-	leases map[uint64]*grant
-	next   uint64
-	down   bool
-	txns   []wire.Txn // all that were carried out
+	mu       sync.Mutex
+	cond     *sync.Cond
+	rev      uint64
+	keys     map[string]*entry
+	log      []logged
+	leases   map[uint64]*grant
+	next     uint64
+	down     bool
+	txns     []wire.Txn // all that were carried out
+	limits   StateLimits
+	tooLarge int // requests refused for their size
 	// faults are those of single callers, by host.
 	faults map[string]StateFault
 	done   chan struct{}
 }
 
+// StateLimits bound what the service takes; 0 is no bound.
+type StateLimits struct{ ValueBytes, TxnOps int }
+
+// SetLimits sets the bounds from now on; what is stored stays readable.
+func (s *State) SetLimits(limits StateLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = limits
+}
+
+// TooLarge counts the transactions refused for their size.
+func (s *State) TooLarge() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tooLarge
+}
+
+// fits tells whether a transaction is within the limits. The lock is held.
+func (s *State) fits(t *wire.Txn) bool {
+	if s.limits.TxnOps > 0 && (len(t.Then) > s.limits.TxnOps || len(t.If) > 4*s.limits.TxnOps) {
+		return false
+	}
+	for _, c := range t.Then {
+		if s.limits.ValueBytes > 0 && len(c.Value) > s.limits.ValueBytes {
+			return false
+		}
+	}
+	return true
+}
+
 // StateFault is how the service treats one caller.
 type StateFault uint8
 
@@ -279,6 +311,11 @@
 		reply(w, 400, struct{}{})
 		return
 	}
+	if !s.fits(&t) {
+		s.tooLarge++
+		reply(w, 400, wire.ErrorBody{Error: "too large"})
+		return
+	}
 	switch fault {
 	case AnswersLost:
 		s.carry(t)
--- /dev/null
+++ b/wire/awaits_test.go
@@ -0,0 +1,43 @@
+package wire
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// What a job awaits is a list of job ids, each of which counts once; anything else
+// is malformed.
+func TestAwaits(t *testing.T) {
+	const form = `{"nameId":"req-000009","lot":"c","crew":"a","shape":"array","rank":"low","pieces":1,"cores":1,"gpus":0,"ramGb":1,` +
+		`"bundle":"i","pullGb":1,"oneZone":false,"spread":false,"loaners":false,"guessS":1,"markS":0,"stashS":0%s}`
+	for _, c := range []struct {
+		awaits string
+		want   []string
+		ok     bool
+	}{
+		{``, nil, true},
+		{`,"awaits":null`, nil, true},
+		{`,"awaits":[]`, nil, true},
+		{`,"awaits":["req-000002","req-000001","req-000002"]`, []string{"req-000001", "req-000002"}, true},
+		{`,"awaits":"req-000001"`, nil, false},
+		{`,"awaits":["job-1"]`, nil, false},
+		{`,"awaits":[7]`, nil, false},
+		{`,"awaits":{"a":1}`, nil, false},
+		{`,"awaits":[""]`, nil, false},
+	} {
+		j, err := DecodeJob([]byte(fmt.Sprintf(form, c.awaits)))
+		if (err == nil) != c.ok {
+			t.Errorf("%s: %v", c.awaits, err)
+			continue
+		}
+		if err == nil && !slices.Equal(j.Awaits, c.want) {
+			t.Errorf("%s: %v", c.awaits, j.Awaits)
+		}
+	}
+	long := `,"awaits":["` + strings.Repeat(`req-000001","`, 3000) + `req-000002"]`
+	if j, err := DecodeJob([]byte(fmt.Sprintf(form, long))); err != nil || len(j.Awaits) != 2 {
+		t.Errorf("a long list: %v", err)
+	}
+}
