--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -659,3 +659,26 @@
 		t.Errorf("all images on %d machines", len(most))
 	}
 }
+
+// What a pipeline's last job asks for counts for those that it needs: a deadline that
+// reaches back makes a job tight, and late, like its own.
+func TestDeadlineReachesBack(t *testing.T) {
+	s := newScene(map[string]ledger.Team{"a": {}})
+	s.job(wire.Job{ID: "req-000001", Team: "a", Tasks: 1, CPUs: 4, EstimateS: 20})
+	needed := s.job(wire.Job{ID: "req-000002", Team: "a", Tasks: 1, CPUs: 4, EstimateS: 100})
+	first := func() string { return s.pl.queue(s.l, nil, s.now, s.now)[0].job.Spec.ID }
+	if got := first(); got != "req-000001" {
+		t.Fatalf("%s first, with no deadline", got)
+	}
+	needed.Deadline = needed.Submitted + 110*clock.Second
+	if got := first(); got != "req-000002" {
+		t.Fatalf("%s first, though the other has to be done for a third", got)
+	}
+	needed.Submitted, needed.Deadline = s.now+2*clock.Second, s.now+clock.Second
+	if due := s.pl.due(needed); due <= 0 {
+		t.Fatalf("a deadline that is over counts as none: %v", due)
+	}
+	if got := first(); got != "req-000001" {
+		t.Fatalf("%s first, though its time is over", got)
+	}
+}
