--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -35,6 +35,8 @@
 	Lease, Cancellation, ReportEvery time.Duration
 	// RunFor is how long a task runs, Boot how long a machine takes to come up.
 	RunFor, Boot time.Duration
+	// Apart, if set, is by how much longer each next task of a job runs.
+	Apart time.Duration
 	// WriteRPS is the state service's rate of changes.
 	WriteRPS float64
 	// Next are the limits of the state service to come.
@@ -146,11 +148,11 @@
 
 // runFor is how long a task runs: a service's until it is stopped.
 func (c *Cluster) runFor(task string) time.Duration {
-	id, _, _ := wire.ParseTaskID(task)
+	id, index, _ := wire.ParseTaskID(task)
 	if c.Checker.IsService(id) {
 		return 0
 	}
-	return c.options.RunFor
+	return c.options.RunFor + time.Duration(index)*c.options.Apart
 }
 
 func (c *Cluster) platform(name string) *config.Platform {
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -585,3 +585,77 @@
 		}
 	})
 }
+
+// The state service answers slowly while users submit, cancel and ask, and the leader
+// ends: every question is answered, and nothing older than before.
+func TestSlowStateService(t *testing.T) {
+	Run(t, Options{RunFor: 10 * time.Second}, func(c *Cluster) {
+		c.Network.SetSlow(standin.StateHost, 250*time.Millisecond)
+		for i := 1; i <= 6; i++ {
+			c.MustSubmit(c.Nodes()[i%3], Array(i, 2, "a"))
+		}
+		c.UntilOn(name(6), 2)
+		c.MustCancelOrDone("n1", name(6))
+		c.Restart(c.Leader(), time.Second)
+		answered := 0
+		for range 20 {
+			for _, n := range c.Nodes() {
+				if c.Poll(n, name(6)).Stage() != "" {
+					answered++
+				}
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		if answered < 40 {
+			t.Errorf("%d of 60 questions are answered", answered)
+		}
+		for i := 1; i <= 5; i++ {
+			c.UntilStage("n2", name(i), wire.JobDone, 2*time.Minute)
+		}
+	})
+}
+
+// Jobs of two or three tasks end far apart, across changes of the leader: what is done
+// stays done, and no job is called done before its last task.
+func TestTasksEndFarApart(t *testing.T) {
+	Run(t, Options{RunFor: 3 * time.Second, Apart: 25 * time.Second}, func(c *Cluster) {
+		for i := 1; i <= 4; i++ {
+			c.MustSubmit("n0", Array(i, 2+i%2, "a"))
+		}
+		c.UntilOn(name(4), 2)
+		for range 5 {
+			time.Sleep(6 * time.Second)
+			c.Restart(c.Leader(), 500*time.Millisecond)
+			for i := 1; i <= 4; i++ {
+				go c.Poll("n0", name(i))
+			}
+		}
+		for i := 1; i <= 4; i++ {
+			c.UntilStage("n1", name(i), wire.JobDone, 3*time.Minute)
+		}
+	})
+}
+
+// Controllers hand over and back: the leader loses its workers, then the next one
+// does, while jobs are cancelled at both.
+func TestHandOverAndBack(t *testing.T) {
+	Run(t, Options{RunFor: long}, func(c *Cluster) {
+		for i := 1; i <= 4; i++ {
+			c.MustSubmit("n0", Array(i, 3, "a"))
+		}
+		c.UntilOn(name(4), 3)
+		for i := 1; i <= 2; i++ {
+			leader := c.Leader()
+			c.CutFromWorkers(leader, true)
+			time.Sleep(3 * time.Second)
+			go c.MustCancel(leader, name(i))
+			c.Until("another leads", time.Minute, func() bool { l := c.Leader(); return l != "" && l != leader })
+			c.CutFromWorkers(leader, false)
+			time.Sleep(10 * time.Second)
+		}
+		for i := 1; i <= 2; i++ {
+			c.Until(name(i)+" is gone", c.options.Cancellation, func() bool { return len(c.On(name(i))) == 0 })
+		}
+		c.UntilOn(name(4), 3)
+	})
+}
--- a/internal/standin/memory.go
+++ b/internal/standin/memory.go
@@ -14,10 +14,9 @@
 // that can be cut. A cut holds what was sent and delivers it once it is over, even
 // if the sender has given up meanwhile.
 type Memory struct {
-	// Latency is how long each piece of data takes.
-	Latency time.Duration
-
 	mu        sync.Mutex
+	latency   time.Duration            // of each piece of data
+	slow      map[string]time.Duration // more than that, to and from a host
 	listeners map[string]*memoryListener
 	conns     map[string]map[net.Conn]bool // open ones, by host
 	cuts      map[string]Between           // by name
@@ -35,7 +34,7 @@
 // NewMemory makes a network without hosts.
 func NewMemory() *Memory {
 	return &Memory{
-		Latency:   time.Millisecond,
+		latency: time.Millisecond, slow: map[string]time.Duration{},
 		listeners: map[string]*memoryListener{}, conns: map[string]map[net.Conn]bool{}, cuts: map[string]Between{},
 	}
 }
@@ -61,6 +60,19 @@
 	clear(n.cuts)
 }
 
+// SetSlow has each piece of data to and from a host take that much longer.
+func (n *Memory) SetSlow(host string, by time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slow[host] = by
+}
+
+func (n *Memory) delay(a, b string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.latency + n.slow[a] + n.slow[b]
+}
+
 func (n *Memory) isCut(a, b string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -169,10 +181,11 @@
 	n.mu.Lock()
 	l := n.listeners[address]
 	n.mu.Unlock()
-	time.Sleep(n.Latency)
 	if l == nil {
+		time.Sleep(n.delay(host, host))
 		return nil, errRefused
 	}
+	time.Sleep(n.delay(host, l.host))
 	for waited := time.Duration(0); n.isCut(host, l.host); waited += cutPoll {
 		if waited >= timeout {
 			return nil, os.ErrDeadlineExceeded
@@ -209,7 +222,7 @@
 	for {
 		size, err := from.Read(buffer)
 		if size > 0 {
-			time.Sleep(n.Latency)
+			time.Sleep(n.delay(a, b))
 			for n.isCut(a, b) {
 				time.Sleep(cutPoll)
 			}
