README names the packages there are, held to it by a check; delegated renewal named as such

Need: a careless replacement had left words of a sentence where names of packages and types stand (README, docs/design.md, comments). Behaviour unchanged.

--- /dev/null
+++ b/internal/ci/layout/layout.go
@@ -0,0 +1,42 @@
+// Package layout compares the packages that a document names with those that there
+// are.
+package layout
+
+import (
+	"io/fs"
+	"path"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// named matches a package's folder between backquotes, as a table names it.
+var named = regexp.MustCompile("`((?:cmd|internal|wire)(?:/[^`]*)?)`")
+
+// Named lists the packages that a document names, each once, in order.
+func Named(document string) []string {
+	var packages []string
+	for _, match := range named.FindAllStringSubmatch(document, -1) {
+		packages = append(packages, match[1])
+	}
+	slices.Sort(packages)
+	return slices.Compact(packages)
+}
+
+// Present lists the folders below the given ones that hold Go files.
+func Present(root fs.FS, folders ...string) ([]string, error) {
+	var packages []string
+	for _, folder := range folders {
+		err := fs.WalkDir(root, folder, func(name string, entry fs.DirEntry, err error) error {
+			if err == nil && !entry.IsDir() && strings.HasSuffix(name, ".go") {
+				packages = append(packages, path.Dir(name))
+			}
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	slices.Sort(packages)
+	return slices.Compact(packages), nil
+}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -65,7 +65,7 @@
 	deletes    []string
 	deleteBusy bool
 	deleteAt   clock.Micros
-	// bound tells until when others may have answered as delegates for workers, echoes are the
+	// bound tells until when others may have renewed workers' leases as delegates, echoes are the
 	// stamps that give them the right to, knewAt is the last instant before which
 	// every withdrawal is known here.
 	bound  *delegation.Grants
--- a/internal/core/promises.go
+++ b/internal/core/promises.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// bounds tells the ledger until when others may have answered as delegates.
+// bounds tells the ledger until when others may have renewed leases as delegates.
 func (l *lead) bounds(now clock.Micros) {
 	w, _ := l.promises.Current()
 	zones := map[string]clock.Micros{}
--- a/internal/delegation/delegation.go
+++ b/internal/delegation/delegation.go
@@ -121,11 +121,11 @@
 	return max(now-v.last, 0)
 }
 
-// Grants is a leader's side: until when others may have answered as delegates.
+// Grants is a leader's side: until when others may have renewed leases as delegates.
 type Grants struct {
 	cfg     Config
 	since   clock.Micros
-	own     clock.Micros // it may have answered as delegates itself until then, in an earlier life
+	own     clock.Micros // it may have renewed leases as delegates itself until then, in an earlier life
 	members map[string]*member
 }
 
@@ -191,10 +191,10 @@
 }
 
 // Latest is the last instant at which another member, or this one in an earlier
-// life, may have answered as delegates for a worker, as far as can be known now.
+// life, may have renewed leases as delegates for a worker, as far as can be known now.
 func (b *Grants) Latest(now clock.Micros) clock.Micros { return b.LatestBut(now, "", nil) }
 
-// LatestBut is the same for a zone in which some members answer nobody as delegates; self
+// LatestBut is the same for a zone in which some members renew no leases as delegates; self
 // is this member's name.
 func (b *Grants) LatestBut(now clock.Micros, self string, but []string) clock.Micros {
 	var latest clock.Micros
@@ -215,5 +215,5 @@
 	return latest
 }
 
-// Own is until when this member may have answered as delegates itself before it led.
+// Own is until when this member may have renewed leases as delegates itself before it led.
 func (b *Grants) Own() clock.Micros { return b.own }
--- a/internal/delegation/promise.go
+++ b/internal/delegation/promise.go
@@ -26,7 +26,7 @@
 	// by delegates left out.
 	At clock.Micros `json:"t"`
 	// By are the members that know of the promise, in all lives from then on: they
-	// answer nobody as delegates there.
+	// renew no leases as delegates there.
 	By []string `json:"b,omitempty"`
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -487,7 +487,7 @@
 				}
 				w.makeDurable()
 			},
-			"answer as delegate": func() {
+			"delegated answer": func() {
 				// Another controller keeps a lease alive, in this leader's name or
 				// an earlier one's.
 				if w.rng.IntN(4) == 0 {
