Clean up keys that ended jobs leave behind; progress of large jobs over lowered limits

Need: needs/ keys and progress left by an end in parts stayed for good; progress of a job of more than some 12,000 tasks that the old version accepted was refused under lowered limits and lost with the leader; thousands of derived ends filled the queue of writes, and submissions were refused until they were through. Ruled out: rewriting the record with another layout, which the old version would misread as other tasks being done.

--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -34,7 +34,7 @@
 					id := fmt.Sprintf("req-%06d", i)
 					c.view.jobs[id] = &jobRecord{At: int64(clock.Wall()), Job: &wire.Job{ID: id, Class: "c", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal,
 						Tasks: 96, CPUs: 2, MemoryGB: 4, EstimateS: 40, Image: "i"}}
-					c.view.done[id] = map[int]bitmap{0: nil}
+					c.view.done[id] = map[int]progressPart{0: {}}
 				}
 				b.StartTimer()
 				l = newLead(c, 10, clock.Now())
--- a/internal/core/durable.go
+++ b/internal/core/durable.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"firwood.dev/firwood/internal/clock"
@@ -22,10 +23,10 @@
 	a.marking = true
 	// Conditional on the key's absence: one that is carried out late, or again,
 	// must not take back progress that was written meanwhile.
-	w := &state.Write{Rank: state.Needed, If: []wire.Condition{{Key: doneKey(id, 0)}}, Then: []wire.Change{progress(id, 0, nil)}}
+	w := &state.Write{Rank: state.Needed, If: []wire.Condition{{Key: doneKey(id, 0)}}, Then: []wire.Change{progressChange(id, 0, nil, nil)}}
 	marked := func() {
 		j.Marked = true
-		a.chunks = max(a.chunks, 1)
+		a.mayHave(0)
 	}
 	l.write(w, func(o state.Outcome) {
 		l.dirty = true
@@ -47,14 +48,6 @@
 	})
 }
 
-func progress(id string, chunk int, bits bitmap) wire.Change {
-	v, err := doneRecord{Bits: bits.encode()}.MarshalJSON()
-	if err != nil {
-		v = []byte(`{"b":""}`)
-	}
-	return wire.Change{Put: doneKey(id, chunk), Value: v}
-}
-
 // write commits a change that is bound to the lock.
 func (l *lead) write(w *state.Write, then func(state.Outcome)) {
 	l.writeRev(w, func(o state.Outcome, _ uint64) { then(o) })
@@ -109,7 +102,7 @@
 		switch {
 		case j.Withdrawn:
 			if l.lg.Gone(j) {
-				l.cleanUp(id, j, a)
+				l.shrinkWithdrawn(id, j, a)
 			}
 		case j.Complete() && !a.over:
 			l.finish(id, j, a)
@@ -143,27 +136,22 @@
 
 func (l *lead) saveProgress(id string, j *ledger.Job, a *jobAux, todo []int, now clock.Micros) {
 	a.writing, a.wroteAt = true, now
-	size := a.chunk
 	// What is more than a transaction takes is for the next one.
-	chunks := map[int]bool{}
-	todo = slices.DeleteFunc(todo, func(i int) bool {
-		if !chunks[i/size] && len(chunks) >= l.c.cfg.Deployment.State.Effective().TxnOps {
+	most := l.c.cfg.Deployment.State.Effective().TxnOps
+	keys := map[int]bool{}
+	todo = slices.DeleteFunc(todo, func(task int) bool {
+		key := a.layout.key(task)
+		if !keys[key] && len(keys) >= most {
 			return true
 		}
-		chunks[i/size] = true
+		keys[key] = true
 		return false
 	})
 	l.saving++
 	w := &state.Write{Rank: state.Spare}
-	for ch := range chunks {
-		var bits bitmap
-		for i := ch * size; i < min(len(j.Tasks), (ch+1)*size); i++ {
-			if j.Tasks[i].State == ledger.Done {
-				bits.set(i % size)
-			}
-		}
-		w.Then = append(w.Then, progress(id, ch, bits))
-		a.chunks = max(a.chunks, ch+1)
+	for key := range keys {
+		w.Then = append(w.Then, a.layout.change(j, key))
+		a.mayHave(key)
 	}
 	l.write(w, func(o state.Outcome) {
 		a.writing = false
@@ -196,13 +184,12 @@
 		If:   []wire.Condition{{Key: prefixJob + id, Version: rec.version}},
 		Then: []wire.Change{{Put: prefixJob + id, Value: v}},
 	}
-	rest := l.dropProgress(w, id, a.chunks)
+	l.addProgressDrops(w, id, a)
 	l.writeRev(w, func(o state.Outcome, rev uint64) {
 		a.writing = false
 		l.dirty = true
 		switch o {
 		case state.Committed:
-			rest()
 			a.over = true
 			todo := j.NotDurable()
 			l.lg.MadeDurable(j, todo)
@@ -227,34 +214,16 @@
 	})
 }
 
-// dropProgress adds the removal of a job's progress to the write of its end, as far
-// as one transaction takes it; the rest goes by what it returns, once that is written.
-func (l *lead) dropProgress(w *state.Write, id string, chunks int) (rest func()) {
+// addProgressDrops adds the removal of a job's progress to the write of its end, as far
+// as one transaction takes it; the rest is cleaned up later, see cleanup.
+func (l *lead) addProgressDrops(w *state.Write, id string, a *jobAux) {
 	most := l.c.cfg.Deployment.State.Effective().TxnOps
-	ch := 0
-	for ; ch < chunks && len(w.Then) < most; ch++ {
-		w.Then = append(w.Then, wire.Change{Delete: doneKey(id, ch)})
-	}
-	var next func()
-	next = func() {
-		if ch >= chunks {
+	for _, number := range slices.Sorted(maps.Keys(a.keys)) {
+		if len(w.Then) >= most {
 			return
 		}
-		at := ch
-		w := &state.Write{Rank: state.Spare}
-		for ; ch < chunks && len(w.Then) < most; ch++ {
-			w.Then = append(w.Then, wire.Change{Delete: doneKey(id, ch)})
-		}
-		l.write(w, func(o state.Outcome) {
-			if o != state.Committed {
-				ch = at
-				l.after(clock.Second, next)
-				return
-			}
-			next()
-		})
+		w.Then = append(w.Then, wire.Change{Delete: doneKey(id, number)})
 	}
-	return next
 }
 
 // logEnd says loudly when batch work has missed what its owners expect.
@@ -266,9 +235,9 @@
 	l.c.log.Debug("job done", "job", id)
 }
 
-// cleanUp shrinks the record of a withdrawn job, once no task of it can be
+// shrinkWithdrawn shrinks the record of a withdrawn job, once no task of it can be
 // anywhere.
-func (l *lead) cleanUp(id string, j *ledger.Job, a *jobAux) {
+func (l *lead) shrinkWithdrawn(id string, j *ledger.Job, a *jobAux) {
 	rec := *l.c.view.jobs[id]
 	rec.Job = nil
 	v, err := rec.MarshalJSON()
@@ -278,11 +247,10 @@
 	a.writing = true
 	// As long as the record is whole, a new leader has to reckon with its tasks.
 	w := &state.Write{Rank: state.Needed, Then: []wire.Change{{Put: prefixJob + id, Value: v}}}
-	rest := l.dropProgress(w, id, a.chunks)
+	l.addProgressDrops(w, id, a)
 	l.write(w, func(o state.Outcome) {
 		a.writing = false
 		if o == state.Committed {
-			rest()
 			l.lg.RemoveJob(j)
 			delete(l.jobs, id)
 		}
--- a/internal/core/faulty_test.go
+++ b/internal/core/faulty_test.go
@@ -20,7 +20,7 @@
 	l.c.view.jobs["req-000001"] = &jobRecord{At: int64(clock.Wall()), Job: &wire.Job{
 		ID: "req-000001", Class: "c", Kind: wire.KindService, Team: "t", Tasks: 1, CPUs: 1,
 	}}
-	l.c.view.done["req-000001"] = map[int]bitmap{0: nil}
+	l.c.view.done["req-000001"] = map[int]progressPart{0: {}}
 	l = newLead(l.c, 10, clock.Now())
 	now := l.since
 	for i, n := range names {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -82,6 +82,7 @@
 	raiseAt, issuedAt clock.Micros
 	issuing           bool
 
+	cleanup   cleanup
 	saving    int // progress writes under way
 	directing int // direct messages under way
 	probing   int // probes under way
@@ -105,8 +106,8 @@
 	marking  bool
 	writing  bool
 	wroteAt  clock.Micros
-	chunks   int
-	chunk    int // tasks in one progress key
+	layout   progressLayout
+	keys     map[int]bool // progress keys that may be there, by number
 	warned   bool
 	over     bool    // its end is durable
 	ran      int     // tasks that this leader saw run to their end
@@ -115,6 +116,14 @@
 	first    int64
 }
 
+// mayHave notes that a progress key of the job may be there.
+func (a *jobAux) mayHave(number int) {
+	if a.keys == nil {
+		a.keys = map[int]bool{}
+	}
+	a.keys[number] = true
+}
+
 // newLead rebuilds the account from a view that rests on a read sent at readAt.
 func newLead(c *Core, token uint64, readAt clock.Micros) *lead {
 	now := clock.Now()
@@ -200,9 +209,7 @@
 	l.bounds(now)
 	l.lg.Settle()
 	l.goOn(now)
-	for _, id := range cancelled {
-		l.cancelledWith(id)
-	}
+	l.cleanup.ends = cancelled
 	c.log.Info("account rebuilt", "token", token, "jobs", len(l.lg.Jobs), "machines", len(l.lg.Machines), "accounted", l.lg.Accounted())
 	return l
 }
@@ -221,22 +228,16 @@
 }
 
 func (l *lead) addJob(id string, rec *jobRecord, marked bool) *ledger.Job {
-	done := l.c.view.done[id]
-	chunk := l.c.chunk
-	if rec.Chunk > 0 {
-		chunk = rec.Chunk
-	}
+	done := l.c.doneTasks(id, rec)
 	released := l.c.graph.ReleasedAt(id, clock.Micros(rec.At))
-	j := l.lg.AddJob(rec.Job, released, clock.Now(), marked, func(i int) bool {
-		return done[i/chunk].has(i % chunk)
-	})
+	j := l.lg.AddJob(rec.Job, released, clock.Now(), marked, done.has)
 	u := l.c.graph.UrgencyOf(id, urgency(rec))
 	j.Priority, j.Deadline = u.Priority, u.Deadline
-	chunks := 0
-	for ch := range done {
-		chunks = max(chunks, ch+1)
+	a := &jobAux{layout: l.c.layoutOf(rec), first: rec.First}
+	for _, number := range l.c.progressKeys(id) {
+		a.mayHave(number)
 	}
-	l.jobs[id] = &jobAux{chunks: chunks, chunk: chunk, first: rec.First}
+	l.jobs[id] = a
 	return j
 }
 
@@ -504,6 +505,7 @@
 	}
 	l.direct(now)
 	l.sendDeletes(now)
+	l.cleanUp(now)
 }
 
 // Between two plans lies planPart times what the last one took, within bounds.
--- a/internal/core/learn_test.go
+++ b/internal/core/learn_test.go
@@ -17,7 +17,7 @@
 	l.c.view.jobs["req-000001"] = &jobRecord{At: int64(clock.Wall()), Job: &wire.Job{
 		ID: "req-000001", Class: "c", Kind: wire.KindArray, Priority: wire.PriorityNormal, Team: "t", Tasks: 2, CPUs: 1, EstimateS: 100,
 	}}
-	l.c.view.done["req-000001"] = map[int]bitmap{0: nil}
+	l.c.view.done["req-000001"] = map[int]progressPart{0: {}}
 	l = newLead(l.c, 10, clock.Now())
 	j, m := l.lg.Jobs["req-000001"], l.lg.Machines["i-1"]
 	now := l.since + clock.Second
--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -4,7 +4,6 @@
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/pipeline"
 	"firwood.dev/firwood/internal/server"
-	"firwood.dev/firwood/internal/state"
 	"firwood.dev/firwood/wire"
 )
 
@@ -71,7 +70,7 @@
 			r.cancelledWith = true
 			delete(c.counts, id)
 			if c.lead != nil {
-				c.lead.cancelledWith(id)
+				c.lead.cleanup.ends = append(c.lead.cleanup.ends, id)
 			}
 		}
 	}
@@ -99,31 +98,6 @@
 	l.dirty = true
 }
 
-// cancelledWith makes the end of a job durable that is cancelled with one that it
-// needs. Users are told without that; it spares later readers the derivation.
-func (l *lead) cancelledWith(id string) {
-	r := l.c.view.jobs[id]
-	if r == nil || r.State != "" {
-		return
-	}
-	over := overRecord(r, wire.JobAborted, clock.Wall())
-	over.Job = nil // it never started
-	value, err := over.MarshalJSON()
-	if err != nil {
-		return
-	}
-	w := &state.Write{
-		Rank: state.Spare,
-		If:   []wire.Condition{{Key: prefixJob + id, Version: r.version}},
-		Then: []wire.Change{{Put: prefixJob + id, Value: value}},
-	}
-	l.write(w, func(o state.Outcome) {
-		if o != state.Committed {
-			l.after(2*clock.Second, func() { l.cancelledWith(id) })
-		}
-	})
-}
-
 // unfitAwaited says why a job can never run for what it awaits, if so.
 func (c *Core) unfitAwaited(j *wire.Job) string {
 	for _, id := range j.Awaits {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"encoding/base64"
 	"strconv"
 	"strings"
 
@@ -27,20 +26,8 @@
 	prefixRental = prefix + "hire/"
 	// prefixAsked is followed by a member.
 	prefixAsked = prefix + "asked/"
-	mostChunk   = 32768 // tasks in one progress key, at most: 4 KiB of bits
 )
 
-// chunkOf is how many tasks one progress key holds, so that its value stays below
-// the state service's limit. All controllers have the same settings. With 4 KiB a
-// value the bits of 32,768 tasks once went over it, and were refused every time.
-func chunkOf(valueKB float64) int {
-	bytes := (valueKB*1024 - doneFrame) * 3 / 4 // base64
-	return min(max(int(bytes), 1)*8, mostChunk)
-}
-
-// doneFrame is what a progress value has beside its bits, with some to spare.
-const doneFrame = 32
-
 // lockRecord is the value of the lock key.
 type lockRecord struct {
 	Member string `json:"m"`
@@ -66,7 +53,8 @@
 	// Parts is how many keys beside this one hold what the job awaits: a list that
 	// does not fit into one value.
 	Parts int `json:"p,omitempty"`
-	// Chunk is how many tasks one progress key of the job holds; 0: see chunkOf.
+	// Chunk is how many tasks one progress key of the job holds that doesn't say where
+	// it begins; 0: see chunkOf. It is read, and not written any more.
 	Chunk int `json:"k,omitempty"`
 	// Released is the time of day of the end of the last job that it awaited.
 	Released int64 `json:"w,omitempty"`
@@ -123,14 +111,13 @@
 // the job may have been started.
 type doneRecord struct {
 	Bits string `json:"b"`
+	// First is the task of the first bit. A value without it has a place that follows
+	// from the key's number.
+	First *int `json:"f,omitempty"`
 }
 
 func doneKey(id string, chunk int) string { return prefixDone + id + "/" + strconv.Itoa(chunk) }
 
-func parseDoneKey(key string) (id string, chunk int, ok bool) {
-	return parseNumbered(strings.TrimPrefix(key, prefixDone))
-}
-
 func awaitsKey(id string, part int) string { return prefixAwaits + id + "/" + strconv.Itoa(part) }
 
 func parseAwaitsKey(key string) (id string, part int, ok bool) {
@@ -150,25 +137,6 @@
 	return id, chunk, true
 }
 
-// bitmap is a set of task numbers within one chunk.
-type bitmap []byte
-
-func (b bitmap) has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
-
-func (b *bitmap) set(i int) {
-	for len(*b) <= i/8 {
-		*b = append(*b, 0)
-	}
-	(*b)[i/8] |= 1 << (i % 8)
-}
-
-func (b bitmap) encode() string { return base64.StdEncoding.EncodeToString(b) }
-
-func decodeBitmap(s string) (bitmap, error) {
-	b, err := base64.StdEncoding.DecodeString(s)
-	return bitmap(b), err
-}
-
 // overRecord is what remains of a job.
 func overRecord(r *jobRecord, state string, now clock.Micros) *jobRecord {
 	o := &jobRecord{At: r.At, State: state, End: int64(now)}
--- a/internal/core/records_easyjson.go
+++ b/internal/core/records_easyjson.go
@@ -749,6 +749,20 @@
 			} else {
 				out.Bits = string(in.String())
 			}
+		case "f":
+			if in.IsNull() {
+				in.Skip()
+				out.First = nil
+			} else {
+				if out.First == nil {
+					out.First = new(int)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					*out.First = int(in.Int())
+				}
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -768,6 +782,11 @@
 		out.RawString(prefix[1:])
 		out.String(string(in.Bits))
 	}
+	if in.First != nil {
+		const prefix string = ",\"f\":"
+		out.RawString(prefix)
+		out.Int(int(*in.First))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/core/small_test.go
+++ b/internal/core/small_test.go
@@ -5,12 +5,48 @@
 
 	"firwood.dev/firwood/internal/client"
 	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/config"
 	"firwood.dev/firwood/internal/ledger"
 	"firwood.dev/firwood/internal/standin"
 	"firwood.dev/firwood/internal/state"
 	"firwood.dev/firwood/wire"
 )
 
+// leadOnState makes a lead that holds the lock of a stand-in state service. Nothing
+// but the test works through its commands.
+func leadOnState(t *testing.T, limits config.State) (*standin.State, *lead) {
+	t.Helper()
+	s, stop := standin.NewState()
+	t.Cleanup(stop)
+	c := rebuilt(t).c
+	c.cfg.Deployment.State = limits
+	c.chunk = chunkOf(limits.ValueKB)
+	c.store = state.New(client.DialTCP, s.Addr, state.Limits{RPS: limits.RPS, WriteRPS: limits.WriteRPS, TxnOps: limits.Effective().TxnOps}, keyLock)
+	c.store.SetShare(1)
+	c.view.rentals, c.view.loaded = map[string]*rentalRecord{}, true
+	return s, leadAgain(t, c)
+}
+
+// leadAgain takes the lock in place of whoever holds it, and leads.
+func leadAgain(t *testing.T, c *Core) *lead {
+	t.Helper()
+	if c.lead != nil {
+		c.lead.close()
+		c.lead = nil
+	}
+	var token uint64
+	c.store.Commit(&state.Write{Then: []wire.Change{{Put: keyLock, Value: []byte(`{"m":"a"}`)}}, Done: func(_ state.Outcome, rev uint64) {
+		c.post(func() { token = rev })
+	}})
+	work(t, c, func() bool { return token != 0 })
+	synced := false
+	c.view.wantSync(func(err error) { synced = err == nil }, clock.Now()+10*clock.Second)
+	work(t, c, func() bool { return synced })
+	c.lead = newLead(c, token, clock.Now())
+	c.lead.deadline.Store(1 << 62)
+	return c.lead
+}
+
 // The life of a large job in the state service, with small values and transactions:
 // every value and every transaction stays within the limits, every task's end is
 // told, and nothing is left but the job's own end.
@@ -20,21 +56,8 @@
 		ops     int
 		tasks   int
 	}{{4, 8, 60000}, {1, 1, 20000}} {
-		s, stop := standin.NewState()
-		l := rebuilt(t)
-		core := l.c
-		core.cfg.Deployment.State.ValueKB, core.cfg.Deployment.State.TxnOps = c.valueKB, c.ops
-		core.chunk = chunkOf(c.valueKB)
-		core.store = state.New(client.DialTCP, s.Addr, state.Limits{RPS: 1000, WriteRPS: 1000, TxnOps: c.ops}, keyLock)
-		var token uint64
-		core.store.Commit(&state.Write{If: []wire.Condition{{Key: keyLock}}, Then: []wire.Change{{Put: keyLock, Value: []byte(`{"m":"a"}`)}}, Done: func(_ state.Outcome, rev uint64) {
-			core.post(func() { token = rev })
-		}})
-		work(t, core, func() bool { return token != 0 })
-		core.view.rentals, core.view.loaded, core.view.rev = map[string]*rentalRecord{}, true, token
-		l = newLead(core, token, clock.Now())
-		l.deadline.Store(1 << 62)
-		core.lead = l
+		s, l := leadOnState(t, config.State{RPS: 1000, WriteRPS: 1000, ValueKB: c.valueKB, TxnOps: c.ops})
+		core, token := l.c, l.token
 
 		const id = "req-000001"
 		rec := &jobRecord{Job: &wire.Job{ID: id, Kind: wire.KindArray, Team: "t", Tasks: c.tasks, Priority: wire.PriorityNormal}, At: int64(clock.Wall())}
@@ -72,13 +95,16 @@
 		core.view.wantSync(func(error) { done = core.view.done[id] }, clock.Now()+10*clock.Second)
 		work(t, core, func() bool { done = core.view.done[id]; return len(done) == (c.tasks-1)/core.chunk+1 })
 		for _, i := range []int{0, core.chunk - 1, core.chunk, c.tasks - 2} {
-			if !done[i/core.chunk].has(i % core.chunk) {
+			if !done[i/core.chunk].bits.has(i % core.chunk) {
 				t.Errorf("%v KiB: task %d is done, and the record does not say so", c.valueKB, i)
 			}
 		}
 		complete(c.tasks-1, c.tasks)
+		sweepAt := clock.Now()
 		work(t, core, func() bool {
 			l.durable(clock.Now() + clock.Second)
+			sweepAt += sweepEvery
+			l.cleanUp(sweepAt) // what the end's transaction could not take
 			return len(s.Keys(prefixDone)) == 0 && l.lg.Jobs[id] == nil
 		})
 		for _, x := range s.Transactions() {
@@ -91,6 +117,5 @@
 				}
 			}
 		}
-		stop()
 	}
 }
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -20,7 +20,7 @@
 		c.view.jobs[id] = &jobRecord{At: wall - int64(at*clock.Second), Job: &wire.Job{
 			ID: id, Class: "c", Kind: wire.KindArray, Priority: wire.PriorityNormal, Team: "t", Tasks: 4, CPUs: 4, EstimateS: 60,
 		}}
-		c.view.done[id] = map[int]bitmap{0: nil}
+		c.view.done[id] = map[int]progressPart{0: {}}
 	}
 	c.cfg.Deployment.Objectives = append(c.cfg.Deployment.Objectives, config.Objective{Kind: "wait", Class: "c", WithinS: 2})
 	l = newLead(c, 10, clock.Now())
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -99,9 +99,6 @@
 		return
 	}
 	rec := &jobRecord{Job: j, At: int64(clock.Wall())}
-	if chunk := chunkOf(c.cfg.Deployment.State.Effective().ValueKB); j.Tasks > chunk && chunk != c.chunk {
-		rec.Chunk = chunk
-	}
 	changes := c.submissionChanges(rec)
 	if changes == nil {
 		c.refuseProven(j, r, func() string { return "the job's description is too large" }, nil)
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -19,7 +19,8 @@
 	loaded bool
 	rev    uint64
 	jobs   map[string]*jobRecord
-	done   map[string]map[int]bitmap
+	// done is the progress of jobs, by the number of its key.
+	done map[string]map[int]progressPart
 	// awaits are the parts of what jobs await, where those have keys of their own.
 	awaits  map[string]map[int][]string
 	rentals map[string]*rentalRecord
@@ -54,7 +55,7 @@
 
 func (v *view) init() {
 	v.jobs = map[string]*jobRecord{}
-	v.done = map[string]map[int]bitmap{}
+	v.done = map[string]map[int]progressPart{}
 	v.awaits = map[string]map[int][]string{}
 	v.rentals = map[string]*rentalRecord{}
 }
@@ -113,7 +114,8 @@
 		return
 	}
 	// Keys that vanished while nobody watched: jobs never do.
-	v.done = map[string]map[int]bitmap{}
+	v.awaits = map[string]map[int][]string{}
+	v.done = map[string]map[int]progressPart{}
 	v.rentals = map[string]*rentalRecord{}
 	v.lock = election.Lock{}
 	for i := range items {
@@ -280,21 +282,7 @@
 		}
 		c.setAwaits(id, part, r.Awaits)
 	case strings.HasPrefix(key, prefixDone):
-		id, chunk, ok := parseDoneKey(key)
-		var r doneRecord
-		err := r.UnmarshalJSON(value)
-		var bits bitmap
-		if err == nil {
-			bits, err = decodeBitmap(r.Bits)
-		}
-		if !ok || err != nil {
-			c.malformed(key, err)
-			return
-		}
-		if v.done[id] == nil {
-			v.done[id] = map[int]bitmap{}
-		}
-		v.done[id][chunk] = bits
+		c.putProgress(key, value)
 	case strings.HasPrefix(key, prefixRental):
 		r := &rentalRecord{}
 		if err := r.UnmarshalJSON(value); err != nil {
@@ -333,18 +321,26 @@
 	}
 }
 
+func (c *Core) dropAwaits(key string) {
+	id, part, ok := parseAwaitsKey(key)
+	if !ok {
+		return
+	}
+	delete(c.view.awaits[id], part)
+	if len(c.view.awaits[id]) == 0 {
+		delete(c.view.awaits, id)
+	}
+}
+
 func (c *Core) drop(key string) {
 	v := &c.view
 	switch {
 	case key == keyLock:
 		v.lock = election.Lock{}
 	case strings.HasPrefix(key, prefixDone):
-		if id, chunk, ok := parseDoneKey(key); ok {
-			delete(v.done[id], chunk)
-			if len(v.done[id]) == 0 {
-				delete(v.done, id)
-			}
-		}
+		c.dropProgress(key)
+	case strings.HasPrefix(key, prefixAwaits):
+		c.dropAwaits(key)
 	case strings.HasPrefix(key, prefixRental):
 		delete(v.rentals, key[len(prefixRental):])
 	}
