Bounds that grow with the deployment: queues, withdrawals, probes, images told, watches

Reports queued were bounded at 4,096, withdrawals told at 4,096; probes of machines with replicas began with the first by name each time, so that in a large fleet the last were never asked; images of sixteen machines a second took minutes to go round; a watch of more than 4 MiB would have failed for ever; machines deleted by a lead were remembered for good. Change: bounds follow from sockets, rates and cancel_s; probes go round; images that changed are told first, and all again to a member that is back; a watch that is too large is a reload. Measured: tests, each of the fault it names.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,7 +99,7 @@
 		ttl = min(max(clock.FromSeconds(d.Workers.LeaseS)/6, 3*clock.Second), 6*clock.Second)
 	}
 	c := &Core{
-		cfg: cfg, tuning: tuning, log: log, dial: dial, ended: make(chan struct{}), q: newQueue(),
+		cfg: cfg, tuning: tuning, log: log, dial: dial, ended: make(chan struct{}), q: newQueue(cfg.Deployment.Limits.MaxSockets, len(cfg.Others)),
 		store: state.New(dial, cfg.Outside.State, state.Limits{
 			RPS: d.State.RPS, WriteRPS: d.State.Effective().WriteRPS, TxnOps: d.State.Effective().TxnOps,
 		}, keyLock),
@@ -130,7 +130,7 @@
 	trip := clock.FromSeconds(1.25*w.ReportS) + clock.Second/2 + clock.Micros(len(cfg.Others))*try
 	c.times = delegation.Times(clock.FromSeconds(w.CancelS), clock.FromSeconds(w.LeaseS), 3*beatEvery, trip)
 	c.staleness = staleness.ForWorkers(clock.FromSeconds(w.CancelS), clock.FromSeconds(w.LeaseS), ttl)
-	c.withdrawals = newWithdrawalLog(clock.FromSeconds(w.CancelS))
+	c.withdrawals = newWithdrawalLog(clock.FromSeconds(w.CancelS), d.State.WriteRPS)
 	c.delegate = delegation.NewDelegate(c.times, uint64(clock.Wall()), clock.Now())
 	for _, t := range d.Teams {
 		g := ledger.FromAmounts(t.CPUs, t.GPUs, 0)
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -279,6 +279,10 @@
 		"spot", n[1], "spot_booting", booting[1], "spot_idle", idle[1], "spot_cpus", room[1], "spot_tasks", tasks[1], "waiting", waiting)
 }
 
+// goneFor is how long a deleted machine is remembered at least: late reports of it, and
+// lists that lag, mean nothing.
+const goneFor = 600 * clock.Second
+
 // list reads the cloud's list now and then: for machines that failed, and for
 // machines that nobody knows.
 func (l *lead) list(now clock.Micros) {
@@ -305,6 +309,7 @@
 				names[all[i].ID] = true
 			}
 			l.unlisted(names, now)
+			maps.DeleteFunc(l.gone, func(name string, at clock.Micros) bool { return now-at > goneFor && !names[name] })
 		})
 	}()
 }
--- a/internal/core/heartbeats.go
+++ b/internal/core/heartbeats.go
@@ -40,6 +40,10 @@
 		return
 	}
 	now := clock.Now()
+	last := c.beats[b.Member]
+	if isBack := last == nil || last.beat.Life != b.Life || now-last.at >= silentMember; isBack && c.lead != nil {
+		c.lead.tellAnew(now)
+	}
 	c.beats[b.Member] = &beatSeen{beat: b, at: now}
 	c.toldWithdrawals(b.Withdrawals)
 	if s := c.stamps[b.Member]; b.Life > s.Life || b.Life == s.Life && b.Stamp > s.At {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -39,6 +39,8 @@
 	awake  clock.Micros
 	lapsed bool // the entitlement was over at the last tick
 	toldOf int  // the machine that the next beat tells of
+	// tellSince is when a member last came back, which has to be told of all machines.
+	tellSince clock.Micros
 	// hadMost: a good part of the machines was heard in this lead.
 	hadMost bool
 	// deafAt is when a zone was last not mostly heard.
@@ -86,6 +88,7 @@
 	saving    int // progress writes under way
 	directing int // direct messages under way
 	probing   int // probes under way
+	probeNext int // the machine that the next look at those with replicas begins with
 }
 
 // machineAux is what the ledger need not know of a machine.
@@ -96,6 +99,7 @@
 	deleting bool
 	probes   probes
 	faults   faults
+	told     toldHolding
 	// booting: the cloud's last list said so. Of a machine that an earlier
 	// leader rented this alone tells that it has never come up.
 	booting bool
--- a/internal/core/learnt.go
+++ b/internal/core/learnt.go
@@ -56,17 +56,51 @@
 	}
 }
 
+// toldHolding is what the others were last told of a machine.
+type toldHolding struct {
+	session uint64
+	images  int
+	at      clock.Micros
+}
+
+const (
+	// lookThrough is in how many messages the leader goes through all machines for
+	// images that are news to the others.
+	lookThrough = 10
+	// tellAgain is after how long a machine is told of though nothing has changed: a
+	// member may have come back meanwhile.
+	tellAgain = holdingFor / 2
+)
+
+// tellAnew has all machines told of again, for a member that may not have heard it.
+func (l *lead) tellAnew(now clock.Micros) { l.tellSince = now }
+
 // tell adds what the next leader would have to learn anew to a beat: a few machines
-// each time, so that a beat costs the same in any fleet.
+// each time, those first of which something has changed, so that a beat costs the same
+// in any fleet.
 func (l *lead) tell(b *peer.Beat) {
+	now := clock.Now()
 	all := l.lg.ByName()
-	for range min(peer.MaxHoldings, len(all)) {
-		l.toldOf %= len(all)
-		if m := all[l.toldOf]; len(m.Images) > 0 && m.Session > 0 {
-			images := slices.Sorted(maps.Keys(m.Images))
-			b.Holdings = append(b.Holdings, peer.Holding{Machine: m.Name, Session: m.Session, Images: images[:min(len(images), peer.MaxImages)]})
+	looks := max((len(all)+lookThrough-1)/lookThrough, peer.MaxHoldings)
+	for range min(looks, len(all)) {
+		if len(b.Holdings) >= peer.MaxHoldings {
+			break
 		}
+		l.toldOf %= len(all)
+		m := all[l.toldOf]
 		l.toldOf++
+		told := toldHolding{m.Session, len(m.Images), now}
+		a := l.machines[m.Name]
+		if a == nil || len(m.Images) == 0 || m.Session == 0 {
+			continue
+		}
+		isNews := a.told.session != told.session || a.told.images != told.images
+		if !isNews && now-a.told.at < tellAgain && a.told.at >= l.tellSince {
+			continue
+		}
+		a.told = told
+		images := slices.Sorted(maps.Keys(m.Images))
+		b.Holdings = append(b.Holdings, peer.Holding{Machine: m.Name, Session: m.Session, Images: images[:min(len(images), peer.MaxImages)]})
 	}
 	for _, class := range l.pl.Classes() {
 		if n, mean, square := l.pl.Class(class).State(); n > 0 && len(b.RunTimes) < peer.MaxRunTimes {
--- a/internal/core/learnt_test.go
+++ b/internal/core/learnt_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 
 	"firwood.dev/firwood/internal/clock"
@@ -45,6 +46,31 @@
 		{Class: "d", Count: 9, Mean: math.NaN(), Square: 1}, {Class: "e", Count: 9, Mean: 3, Square: 1},
 	}}, now)
 
+	// What has not changed is not told again, what has is, and all of it once a member
+	// is back that may not have heard it.
+	told := func(beats int) (machines []string) {
+		for range beats {
+			b := &peer.Beat{Member: "b", Leader: "b", Token: 9}
+			first.tell(b)
+			for _, h := range b.Holdings {
+				machines = append(machines, h.Machine)
+			}
+		}
+		return machines
+	}
+	if again := told(3); len(again) > 0 {
+		t.Errorf("told again: %v", again)
+	}
+	first.lg.Machines["i-07"].Images["another"] = now
+	if news := told(3); !slices.Equal(news, []string{"i-07"}) {
+		t.Errorf("news are %v", news)
+	}
+	first.c.lead = first
+	first.c.heard(&peer.Beat{Member: "b", Life: 5, Stamp: 1})
+	if all := told(3); len(all) != len(names) {
+		t.Errorf("a member that is back is told of %d machines", len(all))
+	}
+
 	l := newLead(second, 10, clock.Now())
 	for i, n := range names {
 		m := l.lg.Machines[n]
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -33,30 +33,49 @@
 	answered clock.Micros // when it last answered
 }
 
-// probe asks the machines that are due.
+// probe asks the machines that are due: first those of which something is amiss, then
+// those with replicas, in turn. Only so many probes are under way at a time, so in a
+// large fleet each look goes on where the last one ended: once the first by name were
+// asked again and again, and the last ones never.
 func (l *lead) probe(now clock.Micros) {
-	overdue := clock.FromSeconds(1.25*l.c.cfg.Deployment.Workers.ReportS) + clock.Second/2
-	for _, m := range l.lg.ByName() {
-		a := l.machines[m.Name]
-		if a == nil || a.deleting || m.Addr == "" || m.UpAt == 0 || a.probes.busy {
-			continue
+	machines := l.lg.ByName()
+	for _, m := range machines {
+		if l.probing >= l.c.directs {
+			return
 		}
-		p := &a.probes
-		quiet := now - max(m.Heard, p.at)
-		switch {
-		case p.misses > 0 && quiet >= clock.Second/2:
-		case m.Replicas() > 0 && quiet >= probeEvery:
-		case now-max(m.Heard, l.awake) >= overdue && quiet >= probeEvery:
-		default:
-			continue
+		if a := l.machines[m.Name]; l.mayAsk(m, a) && l.isAmiss(m, a, now) {
+			l.ask(m, a, now)
 		}
+	}
+	for range machines {
 		if l.probing >= l.c.directs {
 			return
 		}
-		l.ask(m, a, now)
+		l.probeNext %= len(machines)
+		m := machines[l.probeNext]
+		l.probeNext++
+		if a := l.machines[m.Name]; l.mayAsk(m, a) && m.Replicas() > 0 && now-max(m.Heard, a.probes.at) >= probeEvery {
+			l.ask(m, a, now)
+		}
 	}
 }
 
+// mayAsk tells whether a machine can be asked at all.
+func (l *lead) mayAsk(m *ledger.Machine, a *machineAux) bool {
+	return a != nil && !a.deleting && m.Addr != "" && m.UpAt != 0 && !a.probes.busy
+}
+
+// isAmiss tells whether a machine has left a probe unanswered, or its report is overdue,
+// and it is time to ask again.
+func (l *lead) isAmiss(m *ledger.Machine, a *machineAux, now clock.Micros) bool {
+	quiet := now - max(m.Heard, a.probes.at)
+	if a.probes.misses > 0 {
+		return quiet >= clock.Second/2
+	}
+	overdue := clock.FromSeconds(1.25*l.c.cfg.Deployment.Workers.ReportS) + clock.Second/2
+	return now-max(m.Heard, l.awake) >= overdue && quiet >= probeEvery
+}
+
 func (l *lead) ask(m *ledger.Machine, a *machineAux, now clock.Micros) {
 	l.probing++
 	a.probes.busy, a.probes.at = true, now
--- /dev/null
+++ b/internal/core/probe_test.go
@@ -0,0 +1,65 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/wire"
+)
+
+// In a fleet with more replicas than probes may be under way at a time, each machine is
+// asked in its turn, and one that left a probe unanswered is asked at once.
+func TestProbesGoRound(t *testing.T) {
+	const fleet = 300
+	var names []string
+	for i := range fleet {
+		names = append(names, fmt.Sprintf("i-%06d", i))
+	}
+	l := rebuilt(t, names...)
+	l.c.directs = 20
+	j := l.lg.AddJob(&wire.Job{ID: "req-000001", Kind: wire.KindService, Tasks: fleet, CPUs: 1, Team: "t", Priority: wire.PriorityProduction}, 0, 1, true, nil)
+	now := l.since
+	for i, name := range names {
+		m := l.lg.Machines[name]
+		l.lg.HeardBy(m, now)
+		l.lg.Report(m, &wire.Report{Machine: name, Addr: "127.0.0.1:1", Session: 1, Seq: 1, Token: 9}, now)
+		if err := l.lg.Place(j, i, m, l.lg.Attempt(), now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	asked := map[string]int{}
+	look := func() {
+		l.probe(now)
+		for _, name := range names {
+			if a := l.machines[name]; a.probes.busy {
+				asked[name]++
+				a.probes.busy, a.probes.answered = false, now
+				l.probing--
+			}
+		}
+	}
+	now += probeEvery
+	for range fleet/l.c.directs + 1 {
+		look()
+		now += clock.Second / 2
+		for _, m := range l.lg.Machines {
+			m.Heard = max(m.Heard, now-probeEvery) // reports are not overdue
+		}
+	}
+	for _, name := range names {
+		if asked[name] == 0 {
+			t.Fatalf("%s is never asked", name)
+		}
+	}
+	last := names[fleet-1]
+	l.machines[last].probes.misses = 1
+	before := asked[last]
+	look()
+	if asked[last] != before+1 {
+		t.Error("a machine that left a probe unanswered waits for its turn")
+	}
+	if n := l.probing; n != 0 {
+		t.Errorf("%d probes are left", n)
+	}
+}
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -16,21 +16,37 @@
 // queue holds commands for the owner. Each rank is bounded; what users ask is
 // refused first.
 type queue struct {
-	mu    sync.Mutex
-	lists [ranks][]func()
-	wake  chan struct{}
+	mu     sync.Mutex
+	lists  [ranks][]func()
+	bounds [ranks]int
+	wake   chan struct{}
 }
 
-// bounds of the ranks. Decisions are results of this process's own calls,
-// which are bounded where they are made.
-var bounds = [ranks]int{rankReport: 4096, rankDecision: 1 << 20, rankUser: 1024}
+const (
+	// leastUserCommands is how many commands of users are queued in any deployment.
+	leastUserCommands = 1024
+	// beatsPerMember is how many messages of another controller may wait.
+	beatsPerMember = 64
+)
 
-func newQueue() *queue { return &queue{wake: make(chan struct{}, 1)} }
+// newQueue makes a queue for a process with so many connections and other
+// controllers. Each connection has one request under way at a time, so reports of all
+// workers fit however large the fleet is. Decisions are results of this process's own
+// calls, which are bounded where they are made.
+func newQueue(sockets, members int) *queue {
+	q := &queue{wake: make(chan struct{}, 1)}
+	q.bounds = [ranks]int{
+		rankReport:   sockets + members*beatsPerMember,
+		rankDecision: 1 << 20,
+		rankUser:     max(sockets/4, leastUserCommands),
+	}
+	return q
+}
 
 // post adds a command; false means that the rank is full.
 func (q *queue) post(r rank, f func()) bool {
 	q.mu.Lock()
-	if len(q.lists[r]) >= bounds[r] {
+	if len(q.lists[r]) >= q.bounds[r] {
 		q.mu.Unlock()
 		return false
 	}
--- a/internal/core/queue_test.go
+++ b/internal/core/queue_test.go
@@ -8,7 +8,7 @@
 // Reports go before decisions, decisions before what users ask, and what users
 // ask is bounded: in the queue, and in a batch.
 func TestRanks(t *testing.T) {
-	q := newQueue()
+	q := newQueue(900, 2)
 	var got []int
 	for i := 0; i < 3; i++ {
 		for r := rankUser; ; r-- {
@@ -28,7 +28,7 @@
 	for q.post(rankUser, func() {}) {
 		n++
 	}
-	if n != bounds[rankUser] {
+	if n != leastUserCommands {
 		t.Fatalf("%d user commands queued", n)
 	}
 	if !q.post(rankReport, func() {}) {
@@ -39,6 +39,26 @@
 	}
 }
 
+// Reports of every worker that can be connected fit, with messages of the other
+// controllers, whatever the limit of sockets is: once no more than 4,096 did.
+func TestQueueGrowsWithTheSockets(t *testing.T) {
+	for _, sockets := range []int{900, 3500, 4700, 7100, 20000} {
+		q := newQueue(sockets, 2)
+		for i := range sockets + 2 {
+			if !q.post(rankReport, func() {}) {
+				t.Fatalf("%d sockets: report %d is refused", sockets, i)
+			}
+		}
+		users := 0
+		for q.post(rankUser, func() {}) {
+			users++
+		}
+		if users < leastUserCommands || users < sockets/4 {
+			t.Errorf("%d sockets: %d commands of users", sockets, users)
+		}
+	}
+}
+
 func TestBitmap(t *testing.T) {
 	var b bitmap
 	for _, i := range []int{0, 7, 8, mostChunk - 1} {
--- a/internal/core/withdrawals.go
+++ b/internal/core/withdrawals.go
@@ -17,6 +17,7 @@
 type withdrawalLog struct {
 	entries []withdrawalEntry
 	keep    clock.Micros
+	most    int // the oldest entries go when there are more
 	// next is where the next message begins, if not all fit into one.
 	next int
 	// news: one has come in that this member should tell without delay.
@@ -29,17 +30,14 @@
 	learntAt clock.Micros
 }
 
-const (
-	// maxWithdrawalLog bounds the log; the oldest entries go first.
-	maxWithdrawalLog = 4096
-	// tellEvery bounds how often news is told outside of the regular messages.
-	tellEvery = 100 * clock.Millisecond
-)
+// tellEvery bounds how often news is told outside of the regular messages.
+const tellEvery = 100 * clock.Millisecond
 
 // newWithdrawalLog makes a log that keeps entries for the cancellation time: after
-// that the tasks are gone.
-func newWithdrawalLog(cancellation clock.Micros) withdrawalLog {
-	return withdrawalLog{keep: cancellation}
+// that the tasks are gone. In that time no more withdrawals become durable than the
+// state service takes changes; what a reload brings at once is as many again.
+func newWithdrawalLog(cancellation clock.Micros, changesPerSecond float64) withdrawalLog {
+	return withdrawalLog{keep: cancellation, most: 2 * (int(changesPerSecond*cancellation.Seconds()) + 1)}
 }
 
 // add takes a job's record, if it is that of a recent withdrawal.
@@ -47,7 +45,7 @@
 	if r.State != wire.JobAborted || r.Job == nil || wall-clock.Micros(r.End) > w.keep {
 		return
 	}
-	if len(w.entries) >= maxWithdrawalLog {
+	if len(w.entries) >= w.most {
 		w.entries = append(w.entries[:0], w.entries[len(w.entries)/2:]...)
 	}
 	w.entries = append(w.entries, withdrawalEntry{
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -17,6 +17,7 @@
 
 	"firwood.dev/firwood/internal/client"
 	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/http1"
 	"firwood.dev/firwood/wire"
 )
 
@@ -104,8 +105,10 @@
 	requestTimeout = 3 * clock.Second
 	// A read's answer has no size limit of the service's; this is ours.
 	maxAnswer = 4 << 20
-	// queueBound bounds the writes waiting here; more are refused at once.
-	queueBound = 2048
+	// leastQueued is how many writes may wait here in any deployment; more than the
+	// service takes in queuedFor are refused at once.
+	leastQueued = 2048
+	queuedFor   = 4 // seconds
 )
 
 // New makes a client; lockKey is the key that fenced writes are bound to.
@@ -191,6 +194,11 @@
 	target := "/watch?under=" + url.QueryEscape(prefix) + "&since=" + strconv.FormatUint(since, 10) +
 		"&blockMs=" + strconv.FormatInt(int64(block/clock.Millisecond), 10)
 	status, body, err := c.do("GET", target, nil, block+requestTimeout)
+	if isTooLarge(err) {
+		// More has changed than is read at once: it never would be, however often it is
+		// asked for. Pages of keys are bounded.
+		return nil, ErrCompacted
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -209,6 +217,12 @@
 	return e, nil
 }
 
+// isTooLarge tells that an answer was larger than is taken.
+func isTooLarge(err error) bool {
+	var malformed *http1.Error
+	return errors.As(err, &malformed) && malformed.Status == 413
+}
+
 // Get reads one key with its lease.
 func (c *Client) Get(key string) (*wire.Item, error) {
 	c.reads.Wait(1)
@@ -316,7 +330,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) >= queueBound {
+	if len(c.pending) >= max(leastQueued, int(queuedFor*c.limits.WriteRPS)) {
 		return false
 	}
 	c.pending = append(c.pending, w)
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 
@@ -187,3 +188,22 @@
 		t.Fatalf("%d of 23 writes are left", n)
 	}
 }
+
+// A watch that would bring more than is read at once is answered by reading all keys,
+// page by page: asked for again it would be too large again.
+func TestWatchThatIsTooLarge(t *testing.T) {
+	c, _ := open(t)
+	value := `"` + strings.Repeat("x", 40<<10) + `"`
+	for i := range maxAnswer/len(value) + 2 {
+		if o := commit(t, c, &Write{Then: put(fmt.Sprint("a/", i%50), value)}); o[0].o != Committed {
+			t.Fatal(o)
+		}
+	}
+	if _, err := c.Watch("a/", 0, 0); !errors.Is(err, ErrCompacted) {
+		t.Fatalf("the watch ends with %v", err)
+	}
+	items, revision, err := c.Load("a/")
+	if err != nil || len(items) != 50 || revision == 0 {
+		t.Errorf("%d keys are read, %v", len(items), err)
+	}
+}
