Settings: all problems at once, exit 2; limits checked against the fleet that is named

Need: bad settings were told one at a time, with exit 1; a deployment whose sockets, memory, processor or rates can't serve its fleet found out in operation. A beat with long names of images could be larger than receivers take. Beats leave out advice that does not fit a frame. Measured: tests only.

--- a/cmd/firwood/main.go
+++ b/cmd/firwood/main.go
@@ -32,11 +32,30 @@
 // version is set by release builds.
 var version = "0.1.0-dev"
 
+// Exit codes.
+const (
+	exitFailed      = 1
+	exitBadSettings = 2
+)
+
 func main() {
-	if err := root().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "firwood:", strings.ReplaceAll(err.Error(), "\n", "; "))
-		os.Exit(1)
+	os.Exit(exitCode(root().Execute(), os.Stderr))
+}
+
+// exitCode says what went wrong, if anything did, a line each.
+func exitCode(err error, out io.Writer) int {
+	if err == nil {
+		return 0
+	}
+	var settings settingsError
+	if errors.As(err, &settings) {
+		for _, line := range strings.Split(settings.Error(), "\n") {
+			fmt.Fprintln(out, "firwood:", line)
+		}
+		return exitBadSettings
 	}
+	fmt.Fprintln(out, "firwood:", strings.ReplaceAll(err.Error(), "\n", "; "))
+	return exitFailed
 }
 
 func root() *cobra.Command {
@@ -71,20 +90,7 @@
 			if configPath == "" && settingsPath == "" {
 				return errors.New("check: give --config, --settings or both")
 			}
-			if configPath != "" {
-				p, err := config.LoadPlatform(configPath)
-				if err != nil {
-					return err
-				}
-				fmt.Fprintf(cmd.OutOrStdout(), "%s: good: member %s of %d, %d teams\n", configPath, p.Member, len(p.Others)+1, len(p.Deployment.Teams))
-			}
-			if settingsPath != "" {
-				if _, err := config.LoadTuning(settingsPath); err != nil {
-					return err
-				}
-				fmt.Fprintf(cmd.OutOrStdout(), "%s: good\n", settingsPath)
-			}
-			return nil
+			return check(cmd.OutOrStdout(), configPath, settingsPath)
 		},
 	}
 	for _, c := range []*cobra.Command{s, k} {
@@ -97,6 +103,50 @@
 	return r
 }
 
+// settingsError is about what settings files say, and not about anything that was done.
+type settingsError struct{ error }
+
+// loadSettings reads both files; what is wrong is told of both at once.
+func loadSettings(configPath, settingsPath string) (*config.Platform, config.Tuning, error) {
+	p, platformErr := config.LoadPlatform(configPath)
+	t, tuningErr := config.LoadTuning(settingsPath)
+	err := errors.Join(platformErr, tuningErr)
+	if err == nil {
+		err = config.CheckTogether(p, t)
+	}
+	if err != nil {
+		return nil, t, settingsError{err}
+	}
+	return p, t, nil
+}
+
+// check tells whether settings files are good, and can serve the fleet that they name.
+func check(out io.Writer, configPath, settingsPath string) error {
+	if configPath == "" {
+		if _, err := config.LoadTuning(settingsPath); err != nil {
+			return settingsError{err}
+		}
+		fmt.Fprintf(out, "%s: good\n", settingsPath)
+		return nil
+	}
+	p, t, err := loadSettings(configPath, settingsPath)
+	if err != nil {
+		return err
+	}
+	var short []error
+	for _, s := range p.Shortfalls(t.FleetMachines) {
+		short = append(short, errors.New(s.String()))
+	}
+	if short != nil {
+		return settingsError{errors.Join(short...)}
+	}
+	fmt.Fprintf(out, "%s: good: member %s of %d, %d teams\n", configPath, p.Member, len(p.Others)+1, len(p.Deployment.Teams))
+	if settingsPath != "" {
+		fmt.Fprintf(out, "%s: good\n", settingsPath)
+	}
+	return nil
+}
+
 func logger() (*slog.Logger, error) {
 	level := slog.LevelInfo
 	switch v := os.Getenv("LOG_LEVEL"); v {
@@ -115,11 +165,7 @@
 	if configPath == "" {
 		return errors.New("serve: --config is missing")
 	}
-	p, err := config.LoadPlatform(configPath)
-	if err != nil {
-		return err
-	}
-	t, err := config.LoadTuning(settingsPath)
+	p, t, err := loadSettings(configPath, settingsPath)
 	if err != nil {
 		return err
 	}
@@ -134,6 +180,9 @@
 	runtime.GOMAXPROCS(2)
 
 	log = log.With("member", p.Member)
+	for _, s := range p.Shortfalls(t.FleetMachines) {
+		log.Error("a limit is too low for the fleet", "limit", s.Field, "has", s.Has, "needs", s.Needs, "machines", s.Machines, "for", s.Why)
+	}
 	c := core.New(p, t, log, client.DialTCP)
 	srv := server.New(server.Config{
 		Serve: p.Serve, Peer: p.PeerBind, Sockets: c.Sockets(), MakeRoom: c.MakeRoom,
--- a/cmd/firwood/main_test.go
+++ b/cmd/firwood/main_test.go
@@ -86,3 +86,57 @@
 		}
 	}
 }
+
+const goodPlatform = `{"member":"n0","location":"x","serve_on":"127.0.0.1:8080","peer_bind":"127.0.0.1:8081",
+"outside":{"cloud":"127.0.0.1:1","state":"127.0.0.1:2"},
+"deployment":{"nodes":1,"zones":["x"],"workers":{"report_s":3,"lease_s":36,"gang_wait_s":30,"gang_peer_s":8,"cancel_s":66},
+"state":{"rps":150,"write_rps":30,"value_kb":8,"txn_ops":24},"cloud":{"rps":4,"list_lag_s":5},
+"limits":{"cores":0.3,"ram_mb":512,"max_sockets":3500}}}`
+
+// Bad settings end with 2 and a line for each field, of both files at once; so do
+// limits that can't serve the fleet that is named.
+func TestBadSettings(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	platform := write("platform.json", goodPlatform)
+	broken := write("broken.json", strings.NewReplacer(`"rps":150`, `"rps":0`, `"txn_ops":24`, `"txn_ops":0`).Replace(goodPlatform))
+	for _, c := range []struct {
+		name, platform, tuning string
+		code                   int
+		lines                  []string
+	}{
+		{"good", platform, "fleet_machines: 1500\n", 0, nil},
+		{"two fields in each", broken, "alpha: -1\nbeta: -1\n", 2, []string{"deployment.state.rps: ", "deployment.state.txn_ops: ", "alpha: ", "beta: "}},
+		{"at odds with each other", platform, "leader_ttl_s: 40\n", 2, []string{"leader_ttl_s: "}},
+		{"too many machines", platform, "fleet_machines: 4000\n", 2, []string{"deployment.limits.max_sockets: 3500, and a fleet of 4000 machines needs 4731 (1231 more)", "deployment.limits.cores: "}},
+		{"no such file", filepath.Join(dir, "none"), "", 2, []string{"none: cannot be read"}},
+	} {
+		_, err := run("check", "--config", c.platform, "--settings", write("tuning.yaml", c.tuning))
+		var out bytes.Buffer
+		if code := exitCode(err, &out); code != c.code {
+			t.Errorf("%s: ends with %d: %s", c.name, code, out.String())
+		}
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		if len(c.lines) > 0 && len(lines) != len(c.lines) {
+			t.Errorf("%s: %d lines:\n%s", c.name, len(lines), out.String())
+			continue
+		}
+		for i, want := range c.lines {
+			if !strings.Contains(lines[i], want) {
+				t.Errorf("%s: line %d is %q", c.name, i, lines[i])
+			}
+		}
+	}
+	if _, err := run("check", "--config", platform); err != nil {
+		t.Errorf("a fleet that is not named: %v", err)
+	}
+	if _, err := run("--config", broken); exitCode(err, &bytes.Buffer{}) != 2 {
+		t.Errorf("serving with bad settings ends with %v", err)
+	}
+}
--- /dev/null
+++ b/internal/config/capacity_test.go
@@ -0,0 +1,83 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+// What can't serve the fleet that the settings name is told, each limit by its name and
+// by how much it falls short; a fleet that fits is told nothing of.
+func TestShortfalls(t *testing.T) {
+	p, err := ParsePlatform([]byte(platform))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if short := p.Shortfalls(1500); short != nil {
+		t.Fatalf("1,500 machines: %v", short)
+	}
+	short := p.Shortfalls(4000)
+	fields := map[string]Shortfall{}
+	for _, s := range short {
+		fields[s.Field] = s
+		if !strings.Contains(s.String(), "4000 machines") || s.Missing() <= 0 {
+			t.Errorf("told as %q", s)
+		}
+	}
+	sockets, ok := fields["deployment.limits.max_sockets"]
+	if !ok || sockets.Needs != 4000+667+64 || sockets.Missing() != 4000+667+64-3500 {
+		t.Errorf("sockets: %+v", sockets)
+	}
+	if _, ok := fields["deployment.cloud.rps"]; ok {
+		t.Error("the cloud's rate is enough")
+	}
+	p.Deployment.Limits = Limits{Cores: 1, RAMMB: 512, MaxSockets: 5000}
+	if short := p.Shortfalls(4000); short != nil {
+		t.Errorf("with enough of all: %v", short)
+	}
+	for name, lower := range map[string]func(){
+		"deployment.limits.ram_mb":   func() { p.Deployment.Limits.RAMMB = 64 },
+		"deployment.limits.cores":    func() { p.Deployment.Limits.Cores = 0.1 },
+		"deployment.cloud.rps":       func() { p.Deployment.Cloud.RPS = 0.5 },
+		"deployment.state.write_rps": func() { p.Deployment.State.Next = &NextState{WriteRPS: 2} },
+	} {
+		before := p.Deployment
+		lower()
+		if short := p.Shortfalls(4000); len(short) != 1 || short[0].Field != name {
+			t.Errorf("%s lowered: %v", name, short)
+		}
+		p.Deployment = before
+	}
+}
+
+// All that is wrong is told at once, a line for each field.
+func TestAllProblemsAtOnce(t *testing.T) {
+	broken := strings.NewReplacer(`"member":"n0"`, `"member":""`, `"txn_ops":24`, `"txn_ops":0`, `"cores":0.3`, `"cores":-1`, `"zones":["x","y"]`, `"zones":["x","x"]`).Replace(platform)
+	_, err := ParsePlatform([]byte(broken))
+	if err == nil {
+		t.Fatal("it is taken")
+	}
+	lines := strings.Split(err.Error(), "\n")
+	if len(lines) != 4 {
+		t.Fatalf("%d lines: %v", len(lines), err)
+	}
+	for i, field := range []string{"member: ", "deployment.zones: ", "deployment.state.txn_ops: ", "deployment.limits.cores: "} {
+		if !strings.HasPrefix(lines[i], field) {
+			t.Errorf("line %d is %q", i, lines[i])
+		}
+	}
+	if _, err := ParseTuning([]byte("alpha: -1\nbeta: -2\nfleet_machines: -3\n")); err == nil || len(strings.Split(err.Error(), "\n")) != 3 {
+		t.Errorf("the operators' file: %v", err)
+	}
+	p, err := ParsePlatform([]byte(platform))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tuning := DefaultTuning()
+	if err := CheckTogether(p, tuning); err != nil {
+		t.Error(err)
+	}
+	tuning.LeaderTTLS = 36
+	if err := CheckTogether(p, tuning); err == nil || !strings.HasPrefix(err.Error(), "leader_ttl_s: ") {
+		t.Errorf("a lock that outlasts a lease: %v", err)
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -89,8 +89,24 @@
 	Withdrawals []Withdrawal
 }
 
-// Encode makes the frame of a beat.
+// Encode makes the frame of a beat. What would make it larger than a receiver takes is
+// left out: images first, then what jobs have done, which are advice; a receiver that
+// refuses a frame closes the link.
 func Encode(b *Beat) []byte {
+	frame := encode(b)
+	if len(frame) <= MaxFrame {
+		return frame
+	}
+	smaller := *b
+	smaller.Holdings = nil
+	if frame = encode(&smaller); len(frame) > MaxFrame {
+		smaller.Counts = nil
+		frame = encode(&smaller)
+	}
+	return frame
+}
+
+func encode(b *Beat) []byte {
 	fbb := flatbuffers.NewBuilder(256)
 	counts := b.Counts
 	if len(counts) > maxCounts {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -86,3 +87,39 @@
 		}
 	})
 }
+
+// Names as long as users like don't make a frame that receivers refuse; what matters
+// goes all the same.
+func TestLargeBeatsStayWithinAFrame(t *testing.T) {
+	long := strings.Repeat("x", 2000)
+	b := &Beat{Member: "a", Leader: "a", Token: 7}
+	for range MaxHoldings {
+		h := Holding{Machine: "i-1", Session: 1}
+		for range MaxImages {
+			h.Images = append(h.Images, long)
+		}
+		b.Holdings = append(b.Holdings, h)
+	}
+	for range maxCounts {
+		b.Counts = append(b.Counts, Count{Job: "req-000001", Done: 1})
+	}
+	b.Withdrawals = []Withdrawal{{Job: "req-000002", Revision: 3}}
+	for _, withLongJobs := range []bool{false, true} {
+		if withLongJobs {
+			for i := range b.Counts {
+				b.Counts[i].Job = long
+			}
+		}
+		var got *Beat
+		var frames Frames
+		if err := frames.Feed(Encode(b), func(b *Beat) { got = b }); err != nil || got == nil {
+			t.Fatalf("refused: %v", err)
+		}
+		if got.Token != 7 || len(got.Withdrawals) != 1 || len(got.Holdings) != 0 {
+			t.Errorf("received %+v", got)
+		}
+		if (len(got.Counts) == maxCounts) == withLongJobs {
+			t.Errorf("%d counts", len(got.Counts))
+		}
+	}
+}
