Urgency reaches back over each job once, whatever the shape of its pipeline

Cause: passed back depth first, a deadline had the jobs before a diamond looked at once for each way, where the shorter way came first: 1,499,500 looks over 3,996 edges for 3,000 jobs in a row of diamonds, and 14,950 over 396 for 300. Change: jobs are looked at from the one submitted last on (package pipeline, demand.go); ended jobs keep no lists.

--- a/internal/pipeline/graph.go
+++ b/internal/pipeline/graph.go
@@ -77,6 +77,9 @@
 	released   clock.Micros // the time of day from which its waits count
 	urgency    Urgency
 	run        clock.Micros
+	id         string
+	submitted  clock.Micros
+	isQueued   bool // see demand
 }
 
 // Graph holds the jobs of a view.
@@ -91,7 +94,7 @@
 func (g *Graph) node(id string) *node {
 	n := g.nodes[id]
 	if n == nil {
-		n = &node{urgency: leastUrgent}
+		n = &node{id: id, urgency: leastUrgent}
 		g.nodes[id] = n
 	}
 	return n
@@ -105,7 +108,7 @@
 		return change
 	}
 	n.stage = unfinished
-	n.released, n.run = max(n.released, j.Submitted), j.Run
+	n.released, n.run, n.submitted = max(n.released, j.Submitted), j.Run, j.Submitted
 	n.urgency = n.urgency.Join(j.Urgency)
 	for _, need := range j.Needs {
 		needed := g.node(need)
@@ -121,32 +124,11 @@
 		}
 	}
 	if n.stage == unfinished {
-		g.demand(j.ID, n, &change)
+		g.demand(n, &change)
 	}
 	return change
 }
 
-// demand passes a job's urgency back to the jobs that it needs, as far as it adds
-// anything there.
-func (g *Graph) demand(id string, n *node, change *Change) {
-	work := []string{id}
-	for len(work) > 0 {
-		n := g.nodes[work[len(work)-1]]
-		work = work[:len(work)-1]
-		demanded := n.urgency.before(n.run)
-		for _, need := range n.needs {
-			needed := g.nodes[need]
-			joined := needed.urgency.Join(demanded)
-			if needed.stage == done || needed.stage == cancelled || joined == needed.urgency {
-				continue
-			}
-			needed.urgency = joined
-			change.MoreUrgent = append(change.MoreUrgent, need)
-			work = append(work, need)
-		}
-	}
-}
-
 // Done takes the durable end of a job at a time of day.
 func (g *Graph) Done(id string, at clock.Micros) Change {
 	n := g.node(id)
@@ -162,7 +144,7 @@
 			change.Released = append(change.Released, dependent)
 		}
 	}
-	n.dependents = nil
+	n.dependents, n.needs = nil, nil
 	return change
 }
 
@@ -190,7 +172,7 @@
 		n.stage = cancelled
 		change.Cancelled = append(change.Cancelled, id)
 		work = append(work, n.dependents...)
-		n.dependents = nil
+		n.dependents, n.needs = nil, nil
 	}
 }
 
