--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -12,7 +12,7 @@
 // A take-over at several sizes: the account is made from the records, every
 // machine reports its eight tasks, then the first plan is made.
 func BenchmarkTakeOver(b *testing.B) {
-	for _, n := range []int{50, 500, 1500, 2200, 5000} {
+	for _, n := range []int{500, 1500, 4000, 6000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/core/progress.go
+++ b/internal/core/progress.go
@@ -173,10 +173,7 @@
 	if !ok {
 		return
 	}
-	delete(c.view.done[id], number)
-	if len(c.view.done[id]) == 0 {
-		delete(c.view.done, id)
-	}
+	dropPart(c.view.done, id, number)
 }
 
 func parseDoneKey(key string) (id string, number int, ok bool) {
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -187,9 +187,14 @@
 	if !ok {
 		return
 	}
-	delete(c.view.awaits[id], part)
-	if len(c.view.awaits[id]) == 0 {
-		delete(c.view.awaits, id)
+	dropPart(c.view.awaits, id, part)
+}
+
+// dropPart takes one of a job's numbered parts away, and the job with the last one.
+func dropPart[V any](parts map[string]map[int]V, id string, number int) {
+	delete(parts[id], number)
+	if len(parts[id]) == 0 {
+		delete(parts, id)
 	}
 }
 
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -83,8 +83,8 @@
 		name    string
 		filled  float64
 		waiting int
-	}{{"quiet", 0.9, 0}, {"full", 1, 40}, {"start", 0, 300}} {
-		for _, n := range []int{50, 500, 1500, 5000} {
+	}{{"quiet", 0.9, 0}, {"full", 1, 40}, {"start", 0, 300}, {"start of a large day", 0, 900}} {
+		for _, n := range []int{500, 1500, 4000, 6000} {
 			b.Run(fmt.Sprintf("%s/%d", c.name, n), func(b *testing.B) {
 				b.ReportAllocs()
 				for b.Loop() {
