Writes that work waits for are not starved by submissions; the leader takes what others leave

Binding writes always went before needed ones; half of the rate lay unused with followers; each end took two changes at once. Change: a needed write that has waited for half a second is as pressing as a binding one, by age. Progress of ended jobs is dropped later where there is a backlog.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -77,6 +77,7 @@
 	learnt      learnt
 	// asked is what other members have said of workers, by way of the state service.
 	asked     map[string]asked
+	shares    shareTracker
 	nextAsked clock.Micros
 	tickedAt  clock.Micros
 	nextBeat  clock.Micros
--- a/internal/core/durable.go
+++ b/internal/core/durable.go
@@ -194,7 +194,9 @@
 		If:   []wire.Condition{{Key: prefixJob + id, Version: rec.version}},
 		Then: []wire.Change{{Put: prefixJob + id, Value: v}},
 	}
-	l.addProgressDrops(w, id, a)
+	if l.c.store.Backlog() < backlogged {
+		l.addProgressDrops(w, id, a)
+	}
 	l.writeRev(w, func(o state.Outcome, rev uint64) {
 		a.writing = false
 		l.dirty = true
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -262,6 +262,7 @@
 		l.list(now)
 		l.probe(now)
 		l.raiseToken(now)
+		l.c.adjustShare(now)
 		l.logFleet(now)
 		l.dirty = true
 	}
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -25,10 +25,11 @@
 		c.store.SetShare(1)
 		c.cloud.SetShare(1)
 	case c.el.Phase() == election.Leader:
-		c.store.SetShare(0.5)
+		c.store.SetShare(leaderShare)
+		c.shares.share = leaderShare
 		c.cloud.SetShare(0.8)
 	default:
-		c.store.SetShare(0.5 / n)
+		c.store.SetShare((1 - leaderShare) / n)
 		c.cloud.SetShare(0.2 / n)
 	}
 }
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -126,6 +126,7 @@
 		if ev.Version <= v.rev {
 			continue
 		}
+		c.shares.seen++
 		if ev.Delete != "" {
 			c.drop(ev.Delete)
 		} else {
--- a/internal/state/commit.go
+++ b/internal/state/commit.go
@@ -55,20 +55,44 @@
 	Deadline clock.Micros
 	Done     func(Outcome, uint64)
 
-	size int
+	size     int
+	queuedAt clock.Micros
+}
+
+// neededAge is after how long a write that work waits for is as pressing as one that
+// somebody waits for. Under a flood of submissions a leader once rented no machine for
+// 40 s, and what had been accepted waited for its mark for 100.
+const neededAge = clock.Second / 2
+
+// pressing is the rank that a write has by now.
+func (w *Write) pressing(now clock.Micros) Rank {
+	if w.Rank == Needed && now-w.queuedAt >= neededAge {
+		return Binding
+	}
+	return w.Rank
 }
 
 // Delay is how long a binding write that comes now would wait for the rate.
 func (c *Client) Delay() clock.Micros {
+	return c.writes.Delay(float64(c.waiting(Binding) + 1))
+}
+
+// Backlog is how long the writes that somebody or some work waits for will take at the
+// present rate.
+func (c *Client) Backlog() clock.Micros { return c.writes.Delay(float64(c.waiting(Needed))) }
+
+// waiting counts the changes that wait and are at least so pressing.
+func (c *Client) waiting(rank Rank) int {
+	now := clock.Now()
 	c.mu.Lock()
-	ops := 0
+	defer c.mu.Unlock()
+	changes := 0
 	for _, w := range c.pending {
-		if w.Rank <= Binding {
-			ops += len(w.Then)
+		if w.pressing(now) <= rank {
+			changes += len(w.Then)
 		}
 	}
-	c.mu.Unlock()
-	return c.writes.Delay(float64(ops + 1))
+	return changes
 }
 
 // Commit queues a write for the next transaction. It returns false, without
@@ -76,7 +100,7 @@
 // waits for cannot be sent before its time is over: the sooner that is said, the
 // better.
 func (c *Client) Commit(w *Write) bool {
-	w.size = 0
+	w.size, w.queuedAt = 0, clock.Now()
 	for i := range w.Then {
 		w.size += len(w.Then[i].Put) + len(w.Then[i].Delete) + len(w.Then[i].Value) + 48
 	}
@@ -112,7 +136,10 @@
 func (c *Client) next() []*Write {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	slices.SortStableFunc(c.pending, func(a, b *Write) int { return cmp.Compare(a.Rank, b.Rank) })
+	now := clock.Now()
+	slices.SortStableFunc(c.pending, func(a, b *Write) int {
+		return cmp.Or(cmp.Compare(a.pressing(now), b.pressing(now)), cmp.Compare(a.queuedAt, b.queuedAt))
+	})
 	var batch []*Write
 	ops, conds, size := 0, 0, 0
 	waits := false
@@ -228,6 +255,7 @@
 				finish(batch, Unknown, 0)
 				return
 			}
+			c.written.Add(int64(len(t.Then)))
 			finish(batch, Committed, r.Revision)
 			return
 		case 409:
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -41,6 +41,8 @@
 
 	// lastOK and lastRefused are instants of the steady clock.
 	lastOK, lastRefused atomic.Int64
+	// written counts the changes that were carried out.
+	written atomic.Int64
 	// Dropped counts answers that made no sense.
 	Dropped atomic.Int64
 }
@@ -68,8 +70,16 @@
 func (c *Client) SetShare(f float64) {
 	// A little is left for renewals, which do not wait in the queue.
 	r := f * c.limits.RPS * 0.95
-	w := max(f*c.limits.WriteRPS, 1)
 	c.reads.SetRate(r, max(r, 2))
+	c.SetWriteShare(f)
+}
+
+// Written is how many changes of this process were carried out so far.
+func (c *Client) Written() int64 { return c.written.Load() }
+
+// SetWriteShare sets which part of the rate of changes this process may use.
+func (c *Client) SetWriteShare(f float64) {
+	w := max(f*c.limits.WriteRPS, 1)
 	c.writes.SetRate(w, max(w, float64(min(c.limits.TxnOps, 4))))
 }
 
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -207,3 +207,37 @@
 		t.Errorf("%d keys are read, %v", len(items), err)
 	}
 }
+
+// Under a flood of what users ask, writes that work waits for are sent in their turn
+// once they have waited for a moment, and what users ask is not held up by those that
+// came later.
+func TestNeededWritesAreNotStarved(t *testing.T) {
+	c := New(client.DialTCP, "127.0.0.1:1", Limits{RPS: 1000, WriteRPS: 8, TxnOps: 1}, "lead")
+	c.writes = client.NewBudget(8, 8)
+	c.inFlight, c.looking = maxInFlight, true // the test takes the batches itself
+	now := clock.Now()
+	write := func(r Rank, key string, ago clock.Micros) {
+		w := &Write{Rank: r, Then: put(key, "1"), Done: func(Outcome, uint64) {}}
+		if !c.Commit(w) {
+			t.Fatal("refused")
+		}
+		w.queuedAt = now - ago
+	}
+	for i := range 10 {
+		write(Binding, fmt.Sprint("users/", i), clock.Micros(10-i)*100*clock.Millisecond)
+	}
+	write(Needed, "old", 750*clock.Millisecond)
+	write(Needed, "new", 0)
+	var order []string
+	for range 12 {
+		for _, w := range c.next() {
+			order = append(order, w.Then[0].Put)
+		}
+	}
+	if len(order) != 12 || order[3] != "old" || order[11] != "new" {
+		t.Errorf("sent in the order %v", order)
+	}
+	if c.Backlog() != 0 || c.waiting(Needed) != 0 {
+		t.Errorf("%d changes are left", c.waiting(Needed))
+	}
+}
