Records of rentals that shrink are written together, behind a backlog's other writes

Change: written a second later, for all machines gone meanwhile, and with what the rate has to spare while there is a backlog. Ruled out: writing them always as spare: a new leader looks for gone machines that are recorded, and tasks stay in doubt meanwhile.

--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -20,8 +20,10 @@
 	at       clock.Micros
 	resolved bool // the cloud has answered
 	writing  bool
-	stale    bool   // the record has to be written again
-	version  uint64 // of the record as last known
+	stale    bool // the record has to be written again
+	// shrinking: a write without the machines that are gone is due.
+	shrinking bool
+	version   uint64 // of the record as last known
 }
 
 // rentalsAtOnce bounds the rentals under way: what the cloud answers in a second
@@ -41,14 +43,14 @@
 			rec: rentalRecord{Type: r.Pool.Type, Zone: r.Pool.Zone, Spot: r.Pool.Spot, Count: min(n, wire.MaxHire), At: int64(clock.Wall())},
 		}
 		l.rentals[h.name] = h
-		l.recordRental(h, func() { l.sendRental(h) })
+		l.recordRental(h, state.Needed, func() { l.sendRental(h) })
 	}
 }
 
 // recordRental writes the rental's record until it is durable, then goes on. Each
 // write is conditional on the record's version: one that is carried out late, or
 // again, must not take back the names of machines that have tasks by then.
-func (l *lead) recordRental(h *rental, then func()) {
+func (l *lead) recordRental(h *rental, rank state.Rank, then func()) {
 	if h.writing {
 		h.stale = true
 		return
@@ -66,11 +68,11 @@
 	}
 	dropped := c.Delete != ""
 	w := &state.Write{
-		Rank: state.Needed, If: []wire.Condition{{Key: prefixRental + h.name, Version: h.version}}, Then: []wire.Change{c},
+		Rank: rank, If: []wire.Condition{{Key: prefixRental + h.name, Version: h.version}}, Then: []wire.Change{c},
 	}
 	l.writeRev(w, func(o state.Outcome, rev uint64) {
 		if o != state.Committed {
-			l.rereadRental(h, func() { l.recordRental(h, then) })
+			l.rereadRental(h, func() { l.recordRental(h, rank, then) })
 			return
 		}
 		h.writing, h.version = false, rev
@@ -79,7 +81,7 @@
 		}
 		switch {
 		case h.stale:
-			l.recordRental(h, then)
+			l.recordRental(h, rank, then)
 		default:
 			if dropped {
 				delete(l.rentals, h.name)
@@ -109,6 +111,30 @@
 	})
 }
 
+// shrinkEvery is how long the record of a rental waits to be written after one of its
+// machines has gone.
+const shrinkEvery = clock.Second
+
+// shrinkRental has machines that are gone taken out of a rental's record. A new leader
+// that finds them there looks for them until the cloud's list lacks them, so it is done
+// soon, but not for each machine at once, and where there is a backlog with what the rate
+// has to spare: these records took half of the rate of changes in a fleet of 4,000
+// machines that shrank.
+func (l *lead) shrinkRental(h *rental) {
+	if h.shrinking {
+		return
+	}
+	h.shrinking = true
+	l.after(shrinkEvery, func() {
+		h.shrinking = false
+		rank := state.Needed
+		if l.c.store.Backlog() > backlogged {
+			rank = state.Spare
+		}
+		l.recordRental(h, rank, func() {})
+	})
+}
+
 func (l *lead) sendRental(h *rental) {
 	if !l.c.entitled() {
 		l.after(300*clock.Millisecond, func() { l.sendRental(h) })
@@ -140,7 +166,7 @@
 				l.addMachine(h, n)
 			}
 		}
-		l.recordRental(h, func() {
+		l.recordRental(h, state.Needed, func() {
 			// Only machines that the record names may get tasks.
 			for _, n := range h.rec.Machines {
 				if m := l.lg.Machines[n]; m != nil {
@@ -153,7 +179,7 @@
 		l.pl.Refused(pool, now)
 		l.c.log.Debug("nothing to hire", "hire", h.name, "zone", h.rec.Zone, "spot", h.rec.Spot, "error", err)
 		h.resolved, h.rec.Resolved = true, true
-		l.recordRental(h, func() {})
+		l.recordRental(h, state.Needed, func() {})
 	default:
 		l.c.log.Debug("hire not answered", "hire", h.name, "error", err)
 		l.after(clock.Second, func() { l.sendRental(h) })
@@ -217,7 +243,7 @@
 		}
 	}
 	for h := range touched {
-		l.recordRental(h, func() {})
+		l.shrinkRental(h)
 	}
 	l.settle(now)
 	l.dirty = true
--- a/internal/core/repeat_test.go
+++ b/internal/core/repeat_test.go
@@ -75,6 +75,6 @@
 	// An open end: the transaction was carried out, its answer lost. The next write
 	// finds the version that it left.
 	h.version = 1
-	l.recordRental(h, func() { h.version |= 1 << 40 })
+	l.recordRental(h, state.Needed, func() { h.version |= 1 << 40 })
 	work(t, c, func() bool { return h.version>>40 == 1 })
 }
