Submissions and what work waits for take turns under a flood

Change: the two take turns, transaction by transaction; a submission is refused only if its turn would come too late.

--- a/internal/sim/pipelines_test.go
+++ b/internal/sim/pipelines_test.go
@@ -171,3 +171,59 @@
 		}
 	})
 }
+
+// A hundred jobs depend on each other in chains, fans and diamonds; half of them are
+// cancelled with their roots as the leader ends, and users go on submitting. Every
+// controller says the same of each, submissions are answered in time, and the others end.
+func TestManyDependentJobs(t *testing.T) {
+	Run(t, Options{RunFor: 2 * time.Second, WriteRPS: 200}, func(c *Cluster) {
+		number := 0
+		submit := func(awaits ...int) int {
+			number++
+			c.MustSubmit(c.Nodes()[number%3], after(number, "a", awaits...))
+			return number
+		}
+		pipelines := func(root int) (jobs []int) {
+			jobs = append(jobs, root)
+			last := root
+			for range 4 { // a chain
+				last = submit(last)
+				jobs = append(jobs, last)
+			}
+			for range 40 { // a fan
+				jobs = append(jobs, submit(root))
+			}
+			for range 2 { // diamonds
+				left, right := submit(last), submit(last)
+				last = submit(left, right)
+				jobs = append(jobs, left, right, last)
+			}
+			return jobs
+		}
+		leader := c.Leader()
+		c.Cloud.SetDown(true) // nothing starts while they come
+		first, second := submit(), submit()
+		cancelled, kept := pipelines(first), pipelines(second)
+		go c.MustCancel(c.Others(leader)[0], name(first))
+		time.Sleep(50 * time.Millisecond)
+		c.Crash(leader)
+		c.Cloud.SetDown(false)
+		for i := range 20 {
+			asked := time.Now()
+			number++
+			c.MustSubmit(c.Others(leader)[i%2], after(number, "a"))
+			if took := time.Since(asked); took > 2*time.Second {
+				t.Errorf("a submission takes %v", took)
+			}
+		}
+		c.Start(leader)
+		for _, n := range c.Nodes() {
+			for _, i := range cancelled {
+				c.UntilStage(n, name(i), wire.JobAborted, c.options.Cancellation)
+			}
+		}
+		for _, i := range kept {
+			c.UntilStage(c.Nodes()[i%3], name(i), wire.JobDone, 10*time.Minute)
+		}
+	})
+}
--- a/internal/state/commit.go
+++ b/internal/state/commit.go
@@ -59,40 +59,73 @@
 	queuedAt clock.Micros
 }
 
-// neededAge is after how long a write that work waits for is as pressing as one that
+// neededAge is after how long a write that work waits for takes turns with those that
 // somebody waits for. Under a flood of submissions a leader once rented no machine for
-// 40 s, and what had been accepted waited for its mark for 100.
+// 40 s, and what had been accepted waited for its mark for 100; where both went by age
+// alone, the leader refused all submissions meanwhile.
 const neededAge = clock.Second / 2
 
-// pressing is the rank that a write has by now.
-func (w *Write) pressing(now clock.Micros) Rank {
-	if w.Rank == Needed && now-w.queuedAt >= neededAge {
-		return Binding
+// hasWaited tells whether a write takes turns with those that somebody waits for.
+func (w *Write) hasWaited(now clock.Micros) bool {
+	return w.Rank == Needed && now-w.queuedAt >= neededAge
+}
+
+// sortPending puts the waiting writes in the order in which they are sent: by rank, but
+// for needed ones that have waited, which take turns with binding ones. The lock is held.
+func (c *Client) sortPending(now clock.Micros) {
+	turns := map[*Write]int{} // of binding and waiting needed writes, in their order
+	binding, waited := 0, 0
+	for _, w := range c.pending {
+		switch {
+		case w.Rank == Binding:
+			turns[w] = 2 * binding
+			binding++
+		case w.hasWaited(now):
+			turns[w] = 2*waited + 1
+			if c.isNeededsTurn {
+				turns[w] = 2*waited - 1
+			}
+			waited++
+		}
+	}
+	rank := func(w *Write) Rank {
+		if w.hasWaited(now) {
+			return Binding
+		}
+		return w.Rank
 	}
-	return w.Rank
+	slices.SortStableFunc(c.pending, func(a, b *Write) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(turns[a], turns[b]))
+	})
 }
 
 // Delay is how long a binding write that comes now would wait for the rate.
 func (c *Client) Delay() clock.Micros {
-	return c.writes.Delay(float64(c.waiting(Binding) + 1))
+	binding, waited := c.waiting()
+	return c.writes.Delay(float64(binding + min(waited, binding+1) + 1))
 }
 
 // Backlog is how long the writes that somebody or some work waits for will take at the
 // present rate.
-func (c *Client) Backlog() clock.Micros { return c.writes.Delay(float64(c.waiting(Needed))) }
+func (c *Client) Backlog() clock.Micros {
+	binding, waited := c.waiting()
+	return c.writes.Delay(float64(binding + waited))
+}
 
-// waiting counts the changes that wait and are at least so pressing.
-func (c *Client) waiting(rank Rank) int {
+// waiting counts the changes of binding writes, and of needed ones that have waited.
+func (c *Client) waiting() (binding, waited int) {
 	now := clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changes := 0
 	for _, w := range c.pending {
-		if w.pressing(now) <= rank {
-			changes += len(w.Then)
+		switch {
+		case w.Rank <= Binding:
+			binding += len(w.Then)
+		case w.hasWaited(now):
+			waited += len(w.Then)
 		}
 	}
-	return changes
+	return binding, waited
 }
 
 // Commit queues a write for the next transaction. It returns false, without
@@ -136,10 +169,7 @@
 func (c *Client) next() []*Write {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := clock.Now()
-	slices.SortStableFunc(c.pending, func(a, b *Write) int {
-		return cmp.Or(cmp.Compare(a.pressing(now), b.pressing(now)), cmp.Compare(a.queuedAt, b.queuedAt))
-	})
+	c.sortPending(clock.Now())
 	var batch []*Write
 	ops, conds, size := 0, 0, 0
 	waits := false
@@ -165,6 +195,9 @@
 	}
 	clear(c.pending[len(kept):])
 	c.pending = kept
+	if len(batch) > 0 {
+		c.isNeededsTurn = batch[0].Rank == Binding
+	}
 	if len(batch) == 0 {
 		c.inFlight--
 		if waits && !c.looking {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -38,6 +38,8 @@
 	pending  []*Write
 	inFlight int
 	looking  bool // a look at the waiting writes is due
+	// isNeededsTurn: the last transaction began with a binding write.
+	isNeededsTurn bool
 
 	// lastOK and lastRefused are instants of the steady clock.
 	lastOK, lastRefused atomic.Int64
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -208,9 +208,8 @@
 	}
 }
 
-// Under a flood of what users ask, writes that work waits for are sent in their turn
-// once they have waited for a moment, and what users ask is not held up by those that
-// came later.
+// Under a flood of what users ask, writes that work waits for take turns with those once
+// they have waited for a moment, and a flood of these does not have users refused.
 func TestNeededWritesAreNotStarved(t *testing.T) {
 	c := New(client.DialTCP, "127.0.0.1:1", Limits{RPS: 1000, WriteRPS: 8, TxnOps: 1}, "lead")
 	c.writes = client.NewBudget(8, 8)
@@ -226,18 +225,28 @@
 	for i := range 10 {
 		write(Binding, fmt.Sprint("users/", i), clock.Micros(10-i)*100*clock.Millisecond)
 	}
-	write(Needed, "old", 750*clock.Millisecond)
+	for i := range 30 {
+		write(Needed, fmt.Sprint("old/", i), 750*clock.Millisecond)
+	}
 	write(Needed, "new", 0)
+	if delay := c.Delay(); delay > 3*clock.Second {
+		t.Errorf("a user waits %v for 10 of users and 30 others at 8 a second", delay)
+	}
 	var order []string
-	for range 12 {
+	for range 41 {
 		for _, w := range c.next() {
 			order = append(order, w.Then[0].Put)
 		}
 	}
-	if len(order) != 12 || order[3] != "old" || order[11] != "new" {
-		t.Errorf("sent in the order %v", order)
+	if len(order) != 41 || order[40] != "new" {
+		t.Fatalf("sent in the order %v", order)
+	}
+	for i := range 10 {
+		if order[2*i] != fmt.Sprint("users/", i) || order[2*i+1] != fmt.Sprint("old/", i) {
+			t.Fatalf("sent in the order %v", order)
+		}
 	}
-	if c.Backlog() != 0 || c.waiting(Needed) != 0 {
-		t.Errorf("%d changes are left", c.waiting(Needed))
+	if binding, waited := c.waiting(); binding+waited != 0 {
+		t.Errorf("%d and %d changes are left", binding, waited)
 	}
 }
