--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -10,9 +10,9 @@
 	"firwood.dev/firwood/wire"
 )
 
-// fleetSizes are the fleets that TestLargeFleet plays. The race detector takes no more
-// goroutines than a fleet of some hundred workers has, so the test command plays a large
-// one without it.
+// fleetSizes are the fleets that TestLargeFleet plays. The race detector follows no more
+// than some 8,000 goroutines at a time for long, so the test command plays a large one
+// without it.
 var fleetSizes = flag.String("fleet-sizes", "400", "numbers of machines that large fleets have, separated by commas")
 
 // fleetOf describes a deployment that has room for so many machines.
--- /dev/null
+++ b/internal/sim/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package sim
+
+const isRaceDetectorOn = false
