Standby: the account is streamed to followers, and a take-over uses a proven copy

Need: a new leader takes every task of a begun job for one that may be anywhere, until all machines are accounted for; one machine that hangs holds the rest up for a lease and what delegates may have added. Change: ledger tells of each placement that may begin and each that is over; a start goes out once every member in the durable record (key firwood/standby) has it; core carries the stream on the links between controllers, in frames that go only to members which announce that they take them; a new leader asks its replica, the record and the lock's history before it counts doubt. Nobody is named while the leader itself is in doubt.

--- a/internal/config/tuning.go
+++ b/internal/config/tuning.go
@@ -53,6 +53,14 @@
 	// The most machines that the deployment is to have, by which its limits are
 	// checked; 0: not said.
 	FleetMachines int `yaml:"fleet_machines"`
+	// Whether, and how, followers keep a copy of the leader's account.
+	Standby Standby `yaml:"standby"`
+}
+
+// Standby are the settings of the followers' copies of the leader's account.
+type Standby struct {
+	// Enabled has this controller keep such a copy, and stream its account when it leads.
+	Enabled bool `yaml:"enabled"`
 }
 
 // DefaultTuning holds the named defaults.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,6 +22,7 @@
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/internal/sockets"
 	"firwood.dev/firwood/internal/staleness"
+	"firwood.dev/firwood/internal/standby"
 	"firwood.dev/firwood/internal/state"
 	"firwood.dev/firwood/wire"
 )
@@ -75,6 +76,8 @@
 	// withdrawals are recent ones that other members may have to be told of.
 	withdrawals withdrawalLog
 	learnt      learnt
+	// replica follows the leader's account, nil if that is turned off.
+	replica *standby.Replica
 	// asked is what other members have said of workers, by way of the state service.
 	asked     map[string]asked
 	shares    shareTracker
@@ -138,6 +141,9 @@
 		m := ledger.FromAmounts(t.CPUsMax, t.GPUsMax, 0)
 		c.teams[t.Name] = ledger.Team{CPU: g.CPU, GPU: g.GPU, CPUMax: m.CPU, GPUMax: m.GPU}
 	}
+	if tuning.Standby.Enabled {
+		c.replica = standby.NewReplica(c.delegate.Stamp(clock.Now()).Life)
+	}
 	c.view.init()
 	return c
 }
--- a/internal/core/heartbeats.go
+++ b/internal/core/heartbeats.go
@@ -39,6 +39,10 @@
 	if !known {
 		return
 	}
+	if b.IsStandby() {
+		c.heardStandby(b)
+		return
+	}
 	now := clock.Now()
 	last := c.beats[b.Member]
 	if isBack := last == nil || last.beat.Life != b.Life || now-last.at >= silentMember; isBack && c.lead != nil {
@@ -104,8 +108,9 @@
 
 func (c *Core) sendBeats(now clock.Micros) {
 	b := &peer.Beat{
-		Member: c.cfg.Member,
-		Served: c.store.LastOK() > c.store.LastRefused() && now-c.store.LastOK() < 12*clock.Second,
+		Member:         c.cfg.Member,
+		StandbyVersion: c.standbyVersion(),
+		Served:         c.store.LastOK() > c.store.LastRefused() && now-c.store.LastOK() < 12*clock.Second,
 	}
 	b.Leader, b.Token = c.el.Holder()
 	for m, at := range c.workers {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -79,6 +79,9 @@
 	raiseAt, issuedAt clock.Micros
 	issuing           bool
 
+	// standby streams the account to followers, nil if that is turned off.
+	standby *stream
+
 	cleanup   cleanup
 	saving    int // progress writes under way
 	directing int // direct messages under way
@@ -141,10 +144,12 @@
 		gone:   map[string]clock.Micros{}, unknown: map[string]clock.Micros{},
 		view: staleness.NewTracker(c.staleness, readAt),
 	}
-	l.lg = ledger.New(ledger.Config{
+	account := ledger.Config{
 		Token: token, Lease: clock.FromSeconds(d.Workers.LeaseS), Teams: c.teams,
 		MayFence: clock.FromSeconds(d.Workers.CancelS) / 2,
-	})
+	}
+	l.follow(&account)
+	l.lg = ledger.New(account)
 	t := &c.tuning
 	l.pl = planner.New(planner.Params{
 		Alpha: t.Alpha, Beta: t.Beta, IdleWait: clock.FromSeconds(t.IdleWaitS), LaxIdleWait: clock.FromSeconds(t.LaxIdleWaitS),
@@ -216,7 +221,8 @@
 	l.lg.Settle()
 	l.goOn(now)
 	l.cleanup.ends = cancelled
-	c.log.Info("account rebuilt", "token", token, "jobs", len(l.lg.Jobs), "machines", len(l.lg.Machines), "accounted", l.lg.Accounted())
+	c.log.Info("account rebuilt", "token", token, "jobs", len(l.lg.Jobs), "machines", len(l.lg.Machines), "accounted", l.lg.Accounted(),
+		"in_doubt", l.doubts(), "replica_used", account.MayRun != nil)
 	return l
 }
 
@@ -277,6 +283,7 @@
 		l.planGap = min(max(planPart*took, leastPlanGap), mostPlanGap)
 		l.planAt = now + took + l.planGap
 	}
+	l.stream(now)
 	l.direct(now)
 	l.sendDeletes(now)
 	l.cleanUp(now)
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -19,6 +19,7 @@
 	keyTypes    = prefix + "types"
 	keyPromises = prefix + "word"
 	keyToken    = prefix + "token"
+	keyStandby  = prefix + "standby"
 	prefixJob   = prefix + "job/"
 	prefixDone  = prefix + "done/"
 	// prefixAwaits is followed by a job and a number.
--- /dev/null
+++ b/internal/core/standby.go
@@ -0,0 +1,177 @@
+package core
+
+import (
+	"encoding/json"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/ledger"
+	"firwood.dev/firwood/internal/peer"
+	"firwood.dev/firwood/internal/standby"
+	"firwood.dev/firwood/internal/state"
+	"firwood.dev/firwood/wire"
+)
+
+// stream is the leader's side of what its followers copy; see package standby. It
+// implements ledger.Decisions.
+type stream struct {
+	publisher  *standby.Publisher
+	membership *standby.Membership
+}
+
+// Started implements ledger.Decisions.
+func (s *stream) Started(task string, attempt uint64, machine string) uint64 {
+	return s.publisher.Decide(standby.Decision{Kind: standby.Started, Placement: standby.Placement{Task: task, Attempt: attempt, Machine: machine}})
+}
+
+// Over implements ledger.Decisions.
+func (s *stream) Over(task string, attempt uint64, machine string) {
+	s.publisher.Decide(standby.Decision{Kind: standby.Over, Placement: standby.Placement{Task: task, Attempt: attempt, Machine: machine}})
+}
+
+// MaySend implements ledger.Decisions.
+func (s *stream) MaySend(number uint64) bool { return s.membership.MaySend(number) }
+
+// standbyVersion is what this member tells others of the messages that it takes.
+func (c *Core) standbyVersion() uint8 {
+	if c.replica == nil {
+		return 0
+	}
+	return peer.StandbyVersion
+}
+
+// seenStandby takes the durable record of those in step with a leader. One that can't be
+// read names nobody.
+func (c *Core) seenStandby(value []byte, version uint64) {
+	v := &c.view
+	v.standby, v.standbyVersion = standby.Record{}, version
+	if err := json.Unmarshal(value, &v.standby); err != nil {
+		v.standby = standby.Record{}
+		c.malformed(keyStandby, err)
+	}
+	if c.lead != nil && c.lead.standby != nil {
+		c.lead.standby.membership.Seen(v.standby, version)
+	}
+}
+
+// follow sets a new leader's account up so that others can follow it, and has it begin
+// with what this member's replica of the last leader's account proves.
+func (l *lead) follow(account *ledger.Config) {
+	c := l.c
+	if c.replica == nil {
+		return
+	}
+	var others []string
+	for _, o := range c.cfg.Others {
+		others = append(others, o.Member)
+	}
+	publisher := standby.NewPublisher(l.token, nil, others)
+	l.standby = &stream{publisher, standby.NewMembership(publisher, c.view.standby, c.view.standbyVersion, others)}
+	account.Decisions = l.standby
+	if copied, ok := c.replica.Trusted(c.view.standby, c.lastLeader(l.token), c.cfg.Member); ok {
+		account.MayRun = copied.MayRun
+	}
+}
+
+// lastLeader is the token of the leader before the one of a token, 0 if it is not known
+// that nobody led in between.
+func (c *Core) lastLeader(token uint64) uint64 {
+	if c.view.lockSeen != token {
+		return 0
+	}
+	return c.view.lockBefore
+}
+
+// heardStandby takes a message of the leader's stream, or a follower's answer to one.
+func (c *Core) heardStandby(b *peer.Beat) {
+	switch {
+	case c.replica == nil:
+	case b.Position != nil && c.lead != nil && c.lead.standby != nil:
+		c.lead.standby.publisher.Answered(b.Member, *b.Position)
+		c.lead.lg.RetryStarts()
+	case b.Message != nil && !c.isLeading():
+		c.answerStream(b.Member, b.Message)
+	}
+}
+
+// isLeading tells whether this member holds the lock: a replica that still followed the
+// leader before would answer for what this member has already judged.
+func (c *Core) isLeading() bool { return c.lead != nil || c.rebuilding }
+
+func (c *Core) answerStream(from string, m *standby.Message) {
+	before := c.replica.Counts()
+	position := c.replica.Take(m)
+	if after := c.replica.Counts(); after != before {
+		c.dropped("a message of the leader's stream was not taken", "from", from, "token", m.Token,
+			"older", after.Older, "gaps", after.Gaps, "malformed", after.Malformed, "differing", after.Differing)
+	}
+	c.streamTo(from, &peer.Beat{Member: c.cfg.Member, Position: &position})
+}
+
+// streamTo sends a message of a stream to a member that takes such.
+func (c *Core) streamTo(member string, b *peer.Beat) {
+	seen := c.beats[member]
+	if seen == nil || seen.beat.StandbyVersion == 0 {
+		return
+	}
+	for i, o := range c.cfg.Others {
+		if o.Member == member {
+			c.links[i].Stream(peer.Encode(b))
+		}
+	}
+}
+
+// stream sends followers what they lack, and keeps the record of those in step.
+func (l *lead) stream(now clock.Micros) {
+	if l.standby == nil {
+		return
+	}
+	l.standby.membership.Hold(!l.lg.Accounted())
+	for _, o := range l.c.cfg.Others {
+		if message, ok := l.standby.publisher.Next(o.Member, now); ok {
+			l.c.streamTo(o.Member, &peer.Beat{Member: l.c.cfg.Member, Message: message})
+		}
+	}
+	l.writeStandby(now)
+}
+
+// writeStandby makes a change of those in step durable.
+func (l *lead) writeStandby(now clock.Micros) {
+	membership := l.standby.membership
+	record, version, ok := membership.Change(now)
+	if !ok {
+		return
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		membership.Refused()
+		return
+	}
+	w := &state.Write{
+		Rank: state.Vital,
+		If:   []wire.Condition{{Key: keyStandby, Version: version}},
+		Then: []wire.Change{{Put: keyStandby, Value: value}},
+	}
+	l.writeRev(w, func(outcome state.Outcome, revision uint64) {
+		switch outcome {
+		case state.Committed:
+			membership.Committed(revision)
+			l.c.log.Debug("members in step", "token", record.Token, "members", record.Members)
+		case state.Unknown:
+			membership.Unknown()
+		default:
+			// After a conflict the view tells what is there.
+			membership.Refused()
+			l.c.view.wantSync(func(error) {}, clock.Now()+2*clock.Second)
+		}
+		l.lg.RetryStarts()
+	})
+}
+
+// doubts counts tasks that may be anywhere.
+func (l *lead) doubts() int {
+	doubts := 0
+	for _, j := range l.lg.Jobs {
+		doubts += j.Doubts()
+	}
+	return doubts
+}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -7,6 +7,7 @@
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/internal/election"
+	"firwood.dev/firwood/internal/standby"
 	"firwood.dev/firwood/wire"
 )
 
@@ -26,6 +27,12 @@
 	// promises are those of leaders, with its version.
 	promises        delegation.Promises
 	promisesVersion uint64
+	// standby is the record of those in step with a leader, with its version.
+	standby        standby.Record
+	standbyVersion uint64
+	// lockBefore is the version of the lock before the present one, 0 if it is not known:
+	// then somebody may have led in between.
+	lockBefore, lockSeen uint64
 
 	waiters  []*waiter
 	syncing  int // syncs under way
@@ -97,6 +104,9 @@
 			c.malformed(key, err)
 			return
 		}
+		if version != v.lockSeen {
+			v.lockBefore, v.lockSeen = v.lockSeen, version
+		}
 		v.lock = election.Lock{Exists: true, Holder: r.Member, Lease: r.Lease, Version: version}
 	case key == keyTypes:
 		var t wire.MachineTypes
@@ -114,6 +124,8 @@
 			return
 		}
 		c.seenPromises(r.Word, version)
+	case key == keyStandby:
+		c.seenStandby(value, version)
 	case strings.HasPrefix(key, prefixAsked):
 		var r askedRecord
 		if err := r.UnmarshalJSON(value); err != nil {
--- /dev/null
+++ b/internal/ledger/decisions.go
@@ -0,0 +1,88 @@
+package ledger
+
+// Decisions are told of each placement that may begin and of each that is provably over,
+// so that others can follow the account.
+type Decisions interface {
+	// Started takes a placement that may begin from now on, and tells the decision's
+	// number.
+	Started(task string, attempt uint64, machine string) uint64
+	// Over takes a placement that is over, and whose result, if it has one, is durable.
+	Over(task string, attempt uint64, machine string)
+	// MaySend tells whether the start that has a decision's number may be sent.
+	MaySend(number uint64) bool
+}
+
+func (l *Ledger) decideStarted(p *Placement) {
+	if d := l.cfg.Decisions; d != nil {
+		p.decision = d.Started(p.id, p.Attempt, p.Machine.Name)
+	}
+}
+
+// decideOver tells of an end. That of a completed task waits until the completion is
+// durable: who follows the account would take the task for one that has yet to run.
+func (l *Ledger) decideOver(p *Placement) {
+	if l.cfg.Decisions == nil {
+		return
+	}
+	if t := &p.Job.Tasks[p.Index]; t.State == Done && !t.Durable {
+		p.Job.untold = append(p.Job.untold, p)
+		return
+	}
+	l.cfg.Decisions.Over(p.id, p.Attempt, p.Machine.Name)
+}
+
+// decideDurable tells of the ends that have waited for their completions to be durable;
+// of a job that is over, of all.
+func (l *Ledger) decideDurable(j *Job, isOver bool) {
+	kept := j.untold[:0]
+	for _, p := range j.untold {
+		if isOver || j.Tasks[p.Index].Durable {
+			l.cfg.Decisions.Over(p.id, p.Attempt, p.Machine.Name)
+		} else {
+			kept = append(kept, p)
+		}
+	}
+	clear(j.untold[len(kept):])
+	j.untold = kept
+}
+
+// maySend tells whether a start may be sent as far as followers are concerned. One that
+// has to wait is looked at again with RetryStarts.
+func (l *Ledger) maySend(p *Placement) bool {
+	if l.cfg.Decisions == nil || l.cfg.Decisions.MaySend(p.decision) {
+		return true
+	}
+	if m := p.Machine; !m.isWaiting {
+		m.isWaiting = true
+		l.waiting = append(l.waiting, m)
+	}
+	return false
+}
+
+// RetryStarts has the starts that waited for followers looked at again.
+func (l *Ledger) RetryStarts() {
+	waiting := l.waiting
+	l.waiting = nil
+	for _, m := range waiting {
+		m.isWaiting = false
+		if l.Machines[m.Name] == m {
+			l.toSend(m)
+		}
+	}
+}
+
+// mayRun tells whether an earlier leader may have started a task. A gang whose tasks are
+// not all known to be nowhere is in doubt as a whole.
+func (l *Ledger) mayRun(j *Job, isTask func(i int) bool) func(i int) bool {
+	if l.cfg.MayRun == nil {
+		return func(int) bool { return true }
+	}
+	if !j.Gang() {
+		return isTask
+	}
+	any := false
+	for i := range j.Tasks {
+		any = any || isTask(i)
+	}
+	return func(int) bool { return any }
+}
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -58,6 +58,7 @@
 	active  int // placements
 	waiting int
 	byZone  map[string]int
+	untold  []*Placement // that are over, and whose completion is not durable
 	// Attempt of a gang in progress, 0 if none; Broken: it has to end; Under way: it
 	// has been seen running, all its tasks together.
 	Attempt  uint64
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -44,6 +44,11 @@
 	// MayFence bounds how long after a withdrawal a start that can no longer be
 	// called back may be met by a start and a stop in one message.
 	MayFence clock.Micros
+	// Decisions, if not nil, follow the account.
+	Decisions Decisions
+	// MayRun, if not nil, tells whether an earlier leader may have started a task; else
+	// any task of a marked job may run.
+	MayRun func(task string) bool
 }
 
 // Ending tells how a placement ended.
@@ -78,6 +83,7 @@
 	reports     uint64 // counts those taken, to mark what each listed
 	byName      []*Machine
 	outbox      []*Machine // machines that something may have to be sent to
+	waiting     []*Machine // machines whose starts wait for followers
 
 	// Ended collects how placements ended, until it is taken.
 	Ended []Ending
@@ -144,6 +150,7 @@
 	}
 	j.waiting = spec.Tasks
 	l.Jobs[spec.ID] = j
+	mayRun := l.mayRun(j, func(i int) bool { return l.cfg.MayRun(wire.TaskID(spec.ID, i)) })
 	for i := range j.Tasks {
 		t := &j.Tasks[i]
 		if durable != nil && durable(i) {
@@ -151,7 +158,7 @@
 			j.done++
 			j.durable++
 			j.waiting--
-		} else if marked && !l.settled {
+		} else if marked && !l.settled && mayRun(i) {
 			t.Doubt = true
 			j.doubts++
 		}
@@ -180,6 +187,7 @@
 // RemoveJob forgets a job that is over and gone.
 func (l *Ledger) RemoveJob(j *Job) {
 	if l.Gone(j) {
+		l.decideDurable(j, true)
 		delete(l.Jobs, j.Spec.ID)
 	}
 }
@@ -235,6 +243,7 @@
 			j.durable++
 		}
 	}
+	l.decideDurable(j, false)
 }
 
 const (
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -62,8 +62,10 @@
 	replicas int
 	fetching map[string]int // placements that have not run yet, by image
 	outbox   bool           // listed in the ledger's outbox
-	exits    []exit
-	lateIDs  map[attemptKey]bool // attempts that a late direct start may bring back
+	// isWaiting: listed among those whose starts wait for followers.
+	isWaiting bool
+	exits     []exit
+	lateIDs   map[attemptKey]bool // attempts that a late direct start may bring back
 	// sent are the tokens of direct starts, of which copies may come, by attempt;
 	// token is the highest that the worker has said it has seen.
 	sent    map[attemptKey]uint64
--- a/internal/ledger/orders.go
+++ b/internal/ledger/orders.go
@@ -122,7 +122,7 @@
 	case p.Phase == Assigned && !l.startable(p):
 		l.end(p, wire.WhyStopped, now)
 	case p.Phase == Assigned, p.Phase == Sent && !direct && (p.directOut > 0 || p.late):
-		if !l.startable(p) {
+		if !l.startable(p) || !l.maySend(p) {
 			return out
 		}
 		p.Phase = Sent
--- a/internal/ledger/placement.go
+++ b/internal/ledger/placement.go
@@ -51,6 +51,7 @@
 	grace     clock.Micros
 	stopSent  clock.Micros
 	seen      uint64 // the last report that listed it, by the ledger's count
+	decision  uint64 // the number of the decision that it may begin
 
 	// Forecast is when the planner expects it to end, worked out at ForecastAt;
 	// it is the planner's to use.
@@ -144,6 +145,7 @@
 // put books a placement.
 func (l *Ledger) put(p *Placement) {
 	j, m := p.Job, p.Machine
+	l.decideStarted(p)
 	m.places[p.id] = p
 	m.used = m.used.Add(j.Need)
 	u := l.teamUse(l.use, j.Spec.Team)
@@ -223,6 +225,7 @@
 	if j.Gang() && j.active == 0 {
 		j.Attempt, j.Broken, j.UnderWay = 0, false, false
 	}
+	l.decideOver(p)
 	l.Ended = append(l.Ended, Ending{p, why})
 }
 
--- a/internal/peer/fb/Beat.go
+++ b/internal/peer/fb/Beat.go
@@ -237,8 +237,46 @@
 	return 0
 }
 
+func (rcv *Beat) StandbyVersion() byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(34))
+	if o != 0 {
+		return rcv._tab.GetByte(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Beat) MutateStandbyVersion(n byte) bool {
+	return rcv._tab.MutateByteSlot(34, n)
+}
+
+func (rcv *Beat) StandbyMessage(obj *StandbyMessage) *StandbyMessage {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		x := rcv._tab.Indirect(o + rcv._tab.Pos)
+		if obj == nil {
+			obj = new(StandbyMessage)
+		}
+		obj.Init(rcv._tab.Bytes, x)
+		return obj
+	}
+	return nil
+}
+
+func (rcv *Beat) StandbyPosition(obj *StandbyPosition) *StandbyPosition {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(38))
+	if o != 0 {
+		x := rcv._tab.Indirect(o + rcv._tab.Pos)
+		if obj == nil {
+			obj = new(StandbyPosition)
+		}
+		obj.Init(rcv._tab.Bytes, x)
+		return obj
+	}
+	return nil
+}
+
 func BeatStart(builder *flatbuffers.Builder) {
-	builder.StartObject(15)
+	builder.StartObject(18)
 }
 func BeatAddMember(builder *flatbuffers.Builder, member flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(member), 0)
@@ -297,6 +335,15 @@
 func BeatStartWithdrawalsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func BeatAddStandbyVersion(builder *flatbuffers.Builder, standbyVersion byte) {
+	builder.PrependByteSlot(15, standbyVersion, 0)
+}
+func BeatAddStandbyMessage(builder *flatbuffers.Builder, standbyMessage flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(16, flatbuffers.UOffsetT(standbyMessage), 0)
+}
+func BeatAddStandbyPosition(builder *flatbuffers.Builder, standbyPosition flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(17, flatbuffers.UOffsetT(standbyPosition), 0)
+}
 func BeatEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/peer/fb"
+	"firwood.dev/firwood/internal/standby"
 )
 
 //go:generate flatc --go peer.fbs
@@ -87,6 +88,13 @@
 	Revision uint64
 	// Withdrawals are those that the receiver's view may lack.
 	Withdrawals []Withdrawal
+
+	// StandbyVersion is that of the standby messages which the speaker takes, 0 if none.
+	StandbyVersion uint8
+	// Message and Position, of which a frame that is no beat holds one, are of package
+	// standby.
+	Message  *standby.Message
+	Position *standby.Position
 }
 
 // Encode makes the frame of a beat. What would make it larger than a receiver takes is
@@ -125,6 +133,7 @@
 	withdrawals := encodeWithdrawals(fbb, b.Withdrawals)
 	holdings, runs := encodeHoldings(fbb, b.Holdings), encodeRunTimes(fbb, b.RunTimes)
 	member, leader := fbb.CreateString(b.Member), fbb.CreateString(b.Leader)
+	message, position := encodeStandby(fbb, b)
 	fb.BeatStart(fbb)
 	fb.BeatAddMember(fbb, member)
 	fb.BeatAddServed(fbb, b.Served)
@@ -141,6 +150,9 @@
 	fb.BeatAddRunTimes(fbb, runs)
 	fb.BeatAddRevision(fbb, b.Revision)
 	fb.BeatAddWithdrawals(fbb, withdrawals)
+	fb.BeatAddStandbyVersion(fbb, b.StandbyVersion)
+	fb.BeatAddStandbyMessage(fbb, message)
+	fb.BeatAddStandbyPosition(fbb, position)
 	fbb.FinishSizePrefixed(fb.BeatEnd(fbb))
 	return fbb.FinishedBytes()
 }
@@ -271,6 +283,10 @@
 	if err != nil {
 		return nil, err
 	}
+	b.StandbyVersion = r.StandbyVersion()
+	if err := decodeStandby(r, b); err != nil {
+		return nil, err
+	}
 	return b, nil
 }
 
@@ -299,14 +315,16 @@
 }
 
 // Link sends beats to one other controller. Only the newest waits: a beat that
-// was overtaken says nothing that the newer one does not.
+// was overtaken says nothing that the newer one does not. The same holds of messages of a
+// stream: one at a time is under way, and what it lacks is sent again.
 type Link struct {
-	dial Dialer
-	addr string
-	mu   sync.Mutex
-	next []byte
-	wake chan struct{}
-	done chan struct{}
+	dial     Dialer
+	addr     string
+	mu       sync.Mutex
+	beat     []byte
+	streamed []byte
+	wake     chan struct{}
+	done     chan struct{}
 }
 
 // Dialer opens a connection to an address.
@@ -322,10 +340,29 @@
 // Close ends the link; nothing may be sent after that.
 func (l *Link) Close() { close(l.done) }
 
-// Send replaces what waits to be sent.
-func (l *Link) Send(frame []byte) {
+// Send replaces the beat that waits to be sent.
+func (l *Link) Send(frame []byte) { l.replace(&l.beat, frame) }
+
+// Stream replaces the message of a stream that waits to be sent.
+func (l *Link) Stream(frame []byte) { l.replace(&l.streamed, frame) }
+
+// take takes what waits: what a stream tells comes first.
+func (l *Link) take() [][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var frames [][]byte
+	for _, waiting := range []*[]byte{&l.streamed, &l.beat} {
+		if *waiting != nil {
+			frames = append(frames, *waiting)
+			*waiting = nil
+		}
+	}
+	return frames
+}
+
+func (l *Link) replace(waiting *[]byte, frame []byte) {
 	l.mu.Lock()
-	l.next = frame
+	*waiting = frame
 	l.mu.Unlock()
 	select {
 	case l.wake <- struct{}{}:
@@ -352,9 +389,6 @@
 			return
 		case <-l.wake:
 		}
-		l.mu.Lock()
-		frame := l.next
-		l.mu.Unlock()
 		if c == nil {
 			var err error
 			if c, err = l.dial(l.addr, dialTimeout.Duration()); err != nil {
@@ -363,13 +397,21 @@
 				continue
 			}
 		}
-		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())); err == nil {
-			_, err = c.Write(frame)
-			if err == nil {
-				continue
-			}
+		if !writeAll(c, l.take()) {
+			c.Close()
+			c = nil
+		}
+	}
+}
+
+func writeAll(c net.Conn, frames [][]byte) bool {
+	for _, frame := range frames {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())); err != nil {
+			return false
+		}
+		if _, err := c.Write(frame); err != nil {
+			return false
 		}
-		c.Close()
-		c = nil
 	}
+	return true
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -9,6 +10,7 @@
 
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/seed"
+	"firwood.dev/firwood/internal/standby"
 )
 
 func TestMain(m *testing.M) { seed.Main(m) }
@@ -43,10 +45,77 @@
 				At: clock.Micros(rapid.Int64().Draw(t, "withdrawn at")),
 			})
 		}
+		b.StandbyVersion = rapid.Uint8().Draw(t, "standby version")
+		if rapid.Bool().Draw(t, "has message") {
+			b.Message = messages().Draw(t, "message")
+		}
+		if rapid.Bool().Draw(t, "has position") {
+			b.Position = &standby.Position{
+				Life: rapid.Uint64().Draw(t, "replica's life"), Token: rapid.Uint64().Draw(t, "replica's token"),
+				IsComplete: rapid.Bool().Draw(t, "complete"), Sequence: rapid.Uint64().Draw(t, "sequence"),
+				Building: rapid.Uint64().Draw(t, "building"), Parts: rapid.IntRange(0, standby.MaxParts).Draw(t, "parts"),
+			}
+		}
 		return b
 	})
 }
 
+func placements() *rapid.Generator[standby.Placement] {
+	return rapid.Custom(func(t *rapid.T) standby.Placement {
+		return standby.Placement{
+			Task: rapid.String().Draw(t, "task"), Attempt: rapid.Uint64().Draw(t, "attempt"),
+			Machine: rapid.SampledFrom([]string{"i-1", "i-2"}).Draw(t, "machine"),
+		}
+	})
+}
+
+func messages() *rapid.Generator[*standby.Message] {
+	return rapid.Custom(func(t *rapid.T) *standby.Message {
+		m := &standby.Message{Token: rapid.Uint64().Draw(t, "token"), After: rapid.Uint64().Draw(t, "after")}
+		for _, p := range rapid.SliceOfN(placements(), 0, 3).Draw(t, "decisions") {
+			kind := rapid.SampledFrom([]standby.Kind{standby.Started, standby.Over}).Draw(t, "kind")
+			m.Decisions = append(m.Decisions, standby.Decision{Kind: kind, Placement: p})
+		}
+		if rapid.Bool().Draw(t, "has part") {
+			m.Part = &standby.Part{Sequence: rapid.Uint64().Draw(t, "part's sequence"), Number: 1, Of: 2, Digest: rapid.Uint64().Draw(t, "digest")}
+			for _, p := range rapid.SliceOfN(placements(), 0, 3).Draw(t, "placements") {
+				m.Part.Placements = append(m.Part.Placements, p)
+			}
+		}
+		if rapid.Bool().Draw(t, "has check") {
+			m.Check = &standby.Check{Sequence: rapid.Uint64().Draw(t, "checked"), Digest: rapid.Uint64().Draw(t, "check")}
+		}
+		return m
+	})
+}
+
+// The largest messages of a stream fit into a frame, whatever jobs and machines are called.
+func TestLargestStreamMessage(t *testing.T) {
+	longest := standby.Placement{Task: strings.Repeat("t", 140), Attempt: 1 << 60, Machine: strings.Repeat("m", 64)}
+	var decisions, part standby.Message
+	part.Part = &standby.Part{Of: 1}
+	for i := range standby.MaxDecisions {
+		p := longest
+		p.Machine += strconv.Itoa(i) // strings that are alike are written once
+		decisions.Decisions = append(decisions.Decisions, standby.Decision{Kind: standby.Started, Placement: p})
+		part.Part.Placements = append(part.Part.Placements, p)
+	}
+	for name, m := range map[string]*standby.Message{"decisions": &decisions, "part": &part} {
+		if frame := Encode(&Beat{Member: "n1", Message: m}); len(frame) > MaxFrame {
+			t.Errorf("%s: %d bytes", name, len(frame))
+		}
+	}
+}
+
+// A message over its bounds is refused as malformed.
+func TestStreamMessageOverItsBounds(t *testing.T) {
+	m := &standby.Message{Token: 1, Decisions: make([]standby.Decision, standby.MaxDecisions+1)}
+	var frames Frames
+	if err := frames.Feed(Encode(&Beat{Member: "n1", Message: m}), func(*Beat) { t.Error("taken") }); err == nil {
+		t.Error("not refused")
+	}
+}
+
 // Beats come out as they went in, however the stream is cut.
 func TestStream(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -6,10 +6,12 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -26,6 +28,9 @@
 	"firwood.dev/firwood/wire"
 )
 
+// standbyInAll plays every test with copies of the leader's account.
+var standbyInAll = flag.Bool("standby", false, "have controllers keep copies of the leader's account in every test")
+
 // Options say what a deployment is like; times not set have defaults.
 type Options struct {
 	Nodes int
@@ -45,6 +50,10 @@
 	Sockets  int
 	// Next are the limits of the state service to come.
 	Next *config.NextState
+	// Standby has controllers keep copies of the leader's account, but for those named in
+	// WithoutStandby.
+	Standby        bool
+	WithoutStandby []string
 	// Log, if set, gets what controllers log.
 	Log *slog.Logger
 }
@@ -67,6 +76,7 @@
 	defaultTo(&o.WriteRPS, 80)
 	defaultTo(&o.CloudRPS, 10)
 	defaultTo(&o.Sockets, 900)
+	o.Standby = o.Standby || *standbyInAll
 }
 
 func defaultTo[T comparable](option *T, value T) {
@@ -239,7 +249,9 @@
 	dial := func(address string, timeout time.Duration) (net.Conn, error) {
 		return c.Network.Dial(name, address, timeout)
 	}
-	n.app = core.New(n.cfg, config.DefaultTuning(), log.With("member", name), dial)
+	tuning := config.DefaultTuning()
+	tuning.Standby.Enabled = c.options.Standby && !slices.Contains(c.options.WithoutStandby, name)
+	n.app = core.New(n.cfg, tuning, log.With("member", name), dial)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.end = cancel
 	go n.app.Run(ctx)
--- a/internal/standby/membership.go
+++ b/internal/standby/membership.go
@@ -41,6 +41,7 @@
 	// open are records whose write may be, or may yet be, carried out.
 	open      []Record
 	isWriting bool
+	isHeld    bool
 	behind    map[string]clock.Micros // since when a member in step has lacked something
 }
 
@@ -50,6 +51,10 @@
 	return &Membership{publisher: publisher, names: names, durable: found, version: version, behind: map[string]clock.Micros{}}
 }
 
+// Hold has nobody named, or ends that: while tasks may run of which the leader's account
+// knows no place, nobody may believe a replica of it.
+func (m *Membership) Hold(hold bool) { m.isHeld = hold }
+
 // required are the members that any record names which may be in force.
 func (m *Membership) required() []Member {
 	var all []Member
@@ -85,7 +90,7 @@
 	}
 	wanted := Record{Token: m.publisher.token}
 	for _, name := range m.names {
-		if member, ok := m.inStep(name, now); ok {
+		if member, ok := m.inStep(name, now); ok && !m.isHeld {
 			wanted.Members = append(wanted.Members, member)
 		}
 	}
@@ -118,6 +123,14 @@
 	return member, now-since < lagAllowed
 }
 
+// InStep are the members that the durable record names.
+func (m *Membership) InStep() []Member {
+	if m.durable.Token != m.publisher.token {
+		return nil
+	}
+	return m.durable.Members
+}
+
 // Committed takes the news that the last change is durable, at a version.
 func (m *Membership) Committed(version uint64) {
 	m.isWriting = false
--- a/internal/standby/message.go
+++ b/internal/standby/message.go
@@ -3,11 +3,11 @@
 // Bounds of one message, so that it fits a frame between controllers.
 const (
 	// MaxDecisions is how many decisions a message holds at most.
-	MaxDecisions = 1000
+	MaxDecisions = 500
 	// MaxPlacements is how many placements a part of a snapshot holds at most.
-	MaxPlacements = 1000
+	MaxPlacements = 500
 	// MaxParts bounds the parts of a snapshot.
-	MaxParts = 10_000
+	MaxParts = 20_000
 )
 
 // Message goes from the leader to one follower. It holds decisions, or a part of a
--- a/internal/standby/publisher.go
+++ b/internal/standby/publisher.go
@@ -9,7 +9,7 @@
 const (
 	// logLength is how many decisions are kept for followers that lag; one that lags by
 	// more takes a snapshot.
-	logLength = 8 * MaxDecisions
+	logLength = 16 * MaxDecisions
 	// resendAfter is how long the answer to a message is waited for.
 	resendAfter = 200 * clock.Millisecond
 	// checkEvery is how often a follower with nothing to take is sent the digest.
