--- a/cmd/firwood/main.go
+++ b/cmd/firwood/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -26,6 +27,7 @@
 	"firwood.dev/firwood/internal/core"
 	"firwood.dev/firwood/internal/http1"
 	"firwood.dev/firwood/internal/server"
+	"firwood.dev/firwood/internal/tracing"
 	"firwood.dev/firwood/wire"
 )
 
@@ -96,7 +98,7 @@
 	for _, c := range []*cobra.Command{s, k} {
 		addSettings(c)
 	}
-	r.AddCommand(s, k, jobCommand(), workerCommand(), reportCommand(), &cobra.Command{
+	r.AddCommand(s, k, jobCommand(), workerCommand(), reportCommand(), standbyCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "firwood", version) },
 	})
@@ -184,6 +186,14 @@
 		log.Error("a limit is too low for the fleet", "limit", s.Field, "has", s.Has, "needs", s.Needs, "machines", s.Machines, "for", s.Why)
 	}
 	c := core.New(p, t, log, client.DialTCP)
+	if t.Standby.Trace != "" {
+		tracer, err := tracing.New(t.Standby.Trace, p.Member)
+		if err != nil {
+			return fmt.Errorf("standby.trace: %w", err)
+		}
+		defer tracer.Close()
+		c.Trace(tracer)
+	}
 	srv := server.New(server.Config{
 		Serve: p.Serve, Peer: p.PeerBind, Sockets: c.Sockets(), MakeRoom: c.MakeRoom,
 		Idle: 90 * clock.Second, Half: 10 * clock.Second, Lease: clock.FromSeconds(p.Deployment.Workers.LeaseS),
@@ -311,6 +321,48 @@
 	}
 }
 
+func standbyCommand() *cobra.Command {
+	var node string
+	c := &cobra.Command{
+		Use: "standby", Short: "Print who stands by for the leader, and how far behind", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			m, err := call(node, "GET", "/ops/v1/standby", nil)
+			if err != nil {
+				return err
+			}
+			if m.Status != 200 {
+				return fmt.Errorf("the controller answered %d", m.Status)
+			}
+			var s core.StandbyStatus
+			if err := json.Unmarshal(m.Body, &s); err != nil {
+				return err
+			}
+			printStandby(cmd.OutOrStdout(), &s)
+			return nil
+		},
+	}
+	c.Flags().StringVar(&node, "node", "127.0.0.1:8080", "a controller's `IP:PORT`")
+	return c
+}
+
+func printStandby(out io.Writer, s *core.StandbyStatus) {
+	fmt.Fprintf(out, "%s, leader %s\n", s.Member, cmp.Or(s.Leader, "unknown"))
+	if !s.Enabled {
+		fmt.Fprintln(out, "standby is not enabled here")
+	}
+	if r := s.Replica; r != nil {
+		fmt.Fprintf(out, "replica: complete=%t token=%d decisions=%d placements=%d digest=%s\n", r.Complete, r.Token, r.Decisions, r.Placements, r.Digest)
+		fmt.Fprintf(out, "dropped: older=%d gaps=%d malformed=%d differing=%d\n", r.Dropped.Older, r.Dropped.Gaps, r.Dropped.Malformed, r.Dropped.Differing)
+	}
+	for _, f := range s.Followers {
+		fmt.Fprintf(out, "%s: in step=%t, lacks %d decisions for %d ms\n", f.Member, f.InStep, f.Lacks, f.LacksMs)
+	}
+	if t := s.TakeOver; t != nil {
+		fmt.Fprintf(out, "last take-over here: token=%d replica used=%t in doubt=%d; lock %d ms, rebuild %d ms, first decision %d ms\n",
+			t.Token, t.ReplicaUsed, t.InDoubt, t.LockMs, t.RebuildMs, t.DecisionMs)
+	}
+}
+
 func reportCommand() *cobra.Command {
 	var node string
 	c := &cobra.Command{
--- a/internal/config/tuning.go
+++ b/internal/config/tuning.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/goccy/go-yaml"
 )
@@ -61,6 +62,8 @@
 type Standby struct {
 	// Enabled has this controller keep such a copy, and stream its account when it leads.
 	Enabled bool `yaml:"enabled"`
+	// Trace is a file, or "stderr", that spans of take-overs are written to; none if empty.
+	Trace string `yaml:"trace"`
 }
 
 // DefaultTuning holds the named defaults.
@@ -131,5 +134,7 @@
 		{positive(t.AgeAfterS), "age_after_s", "is not above 0"},
 		{notNegative(t.GangWeight), "gang_weight", "is below 0"},
 		{t.FleetMachines >= 0, "fleet_machines", "is below 0"},
+		{t.Standby.Trace == "" || t.Standby.Trace == "stderr" || filepath.IsAbs(t.Standby.Trace), "standby.trace", "is not \"stderr\" or the full path of a file"},
+		{t.Standby.Trace == "" || t.Standby.Enabled, "standby.trace", "is set while standby.enabled is not"},
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,6 +24,7 @@
 	"firwood.dev/firwood/internal/staleness"
 	"firwood.dev/firwood/internal/standby"
 	"firwood.dev/firwood/internal/state"
+	"firwood.dev/firwood/internal/tracing"
 	"firwood.dev/firwood/wire"
 )
 
@@ -78,6 +79,10 @@
 	learnt      learnt
 	// replica follows the leader's account, nil if that is turned off.
 	replica *standby.Replica
+	// leaderHeard is when a beat of another member as leader last came.
+	leaderHeard   clock.Micros
+	takeOverTimes takeOverTimes
+	tracer        *tracing.Tracer
 	// asked is what other members have said of workers, by way of the state service.
 	asked     map[string]asked
 	shares    shareTracker
@@ -148,6 +153,9 @@
 	return c
 }
 
+// Trace has take-overs written to a tracer; it is called before Run.
+func (c *Core) Trace(t *tracing.Tracer) { c.tracer = t }
+
 // Sockets is the budget of connections that the server shares with this process's
 // direct messages.
 func (c *Core) Sockets() *sockets.Budget { return c.sockets }
--- a/internal/core/heartbeats.go
+++ b/internal/core/heartbeats.go
@@ -55,6 +55,7 @@
 	}
 	echo := delegation.Stamp{Life: b.EchoLife, At: b.EchoStamp}
 	if b.Leader == b.Member && c.lead == nil {
+		c.leaderHeard = now
 		c.learn(b, now)
 		c.delegate.Hear(now, b.Token, echo)
 	}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -221,8 +221,10 @@
 	l.lg.Settle()
 	l.goOn(now)
 	l.cleanup.ends = cancelled
+	times := &c.takeOverTimes
+	times.rebuilt, times.isReplicaUsed, times.inDoubt = clock.Now(), account.MayRun != nil, l.doubts()
 	c.log.Info("account rebuilt", "token", token, "jobs", len(l.lg.Jobs), "machines", len(l.lg.Machines), "accounted", l.lg.Accounted(),
-		"in_doubt", l.doubts(), "replica_used", account.MayRun != nil)
+		"in_doubt", times.inDoubt, "replica_used", times.isReplicaUsed)
 	return l
 }
 
@@ -284,6 +286,7 @@
 		l.planAt = now + took + l.planGap
 	}
 	l.stream(now)
+	l.watchFirstDecision(now)
 	l.direct(now)
 	l.sendDeletes(now)
 	l.cleanUp(now)
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -48,7 +48,7 @@
 				c.post(func() { c.act(c.el.Granted(clock.Now(), lease)) })
 			}()
 		case election.Acquire:
-			c.acquire(a.Lease)
+			c.acquireInTurn(a.Lease)
 		case election.Renew:
 			go func() {
 				err := c.store.Renew(a.Lease, ttl/4)
@@ -109,6 +109,7 @@
 		return
 	}
 	c.rebuilding = true
+	c.takeOverTimes = takeOverTimes{heard: c.leaderHeard, won: clock.Now(), token: c.el.Token()}
 	c.applyShares()
 	_, _, lease := c.el.Held()
 	c.log.Info("lock won", "token", c.el.Token(), "lease", lease)
--- /dev/null
+++ b/internal/core/standby_preference.go
@@ -0,0 +1,52 @@
+package core
+
+import (
+	"time"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/election"
+)
+
+// giveWayFor is how long a member whose replica could not be used lets another one try for
+// the lock first: a lease and a transaction, with time to spare.
+const giveWayFor = 300 * clock.Millisecond
+
+// givesWay tells whether another member that is up has a replica that the last leader
+// vouched for, and this one has not. It is a preference: after giveWayFor this one tries.
+func (c *Core) givesWay(now clock.Micros) bool {
+	if c.replica == nil || c.view.standby.Token != c.view.lockSeen {
+		return false
+	}
+	others := false
+	for _, m := range c.view.standby.Members {
+		if m.Name == c.cfg.Member && m.Life == c.replica.Position().Life {
+			return false
+		}
+		seen := c.beats[m.Name]
+		others = others || seen != nil && seen.beat.Life == m.Life && now-seen.at < 2*beatEvery
+	}
+	return others
+}
+
+// acquireInTurn tries for the lock, after others that stand better.
+func (c *Core) acquireInTurn(lease uint64) {
+	if !c.givesWay(clock.Now()) {
+		c.acquire(lease)
+		return
+	}
+	c.later(giveWayFor, func() {
+		_, _, held := c.el.Held()
+		switch {
+		case held != lease:
+		case c.view.lock.Exists:
+			c.act(c.el.Acquired(clock.Now(), election.Lost, 0))
+		default:
+			c.acquire(lease)
+		}
+	})
+}
+
+// later runs f on the owner after a while.
+func (c *Core) later(after clock.Micros, f func()) {
+	time.AfterFunc(after.Duration(), func() { c.post(f) })
+}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -106,6 +106,7 @@
 		}
 		if version != v.lockSeen {
 			v.lockBefore, v.lockSeen = v.lockSeen, version
+			c.seenTakeOver(version)
 		}
 		v.lock = election.Lock{Exists: true, Holder: r.Member, Lease: r.Lease, Version: version}
 	case key == keyTypes:
--- a/internal/e2e/deployment_test.go
+++ b/internal/e2e/deployment_test.go
@@ -23,6 +23,7 @@
 
 type node struct {
 	name, serve, peer, file string
+	settings                string // the operators' file, if any
 	cmd                     *exec.Cmd
 	log                     *os.File // what it writes to standard error, over all its lives
 }
@@ -39,6 +40,9 @@
 func (n *node) start(t *testing.T, program string) {
 	t.Helper()
 	n.cmd = exec.Command(program, "--config", n.file)
+	if n.settings != "" {
+		n.cmd.Args = append(n.cmd.Args, "--settings", n.settings)
+	}
 	n.cmd.Stderr = n.log
 	if err := n.cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/ledger/decisions.go
+++ b/internal/ledger/decisions.go
@@ -12,6 +12,9 @@
 	MaySend(number uint64) bool
 }
 
+// HasDecided tells whether a task has been placed, or is about to be.
+func (l *Ledger) HasDecided() bool { return l.counter > 0 }
+
 func (l *Ledger) decideStarted(p *Placement) {
 	if d := l.cfg.Decisions; d != nil {
 		p.decision = d.Started(p.id, p.Attempt, p.Machine.Name)
--- a/internal/server/routes.go
+++ b/internal/server/routes.go
@@ -154,6 +154,10 @@
 		if need("GET") {
 			s.app.Morning(r)
 		}
+	case path == "/ops/v1/standby":
+		if need("GET") {
+			s.app.Standby(r)
+		}
 	default:
 		k.answerNow(404, errorBody("no such path"))
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -26,6 +26,7 @@
 	Checkin(rep *wire.Report, r *Reply)
 	Up() bool
 	Morning(r *Reply)
+	Standby(r *Reply)
 	Beat(b *peer.Beat)
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -33,6 +33,7 @@
 }
 func (e *echo) Up() bool         { return true }
 func (e *echo) Morning(r *Reply) { r.Send(200, []byte(`{}`), 0) }
+func (e *echo) Standby(r *Reply) { r.Send(200, []byte(`{}`), 0) }
 func (e *echo) Beat(*peer.Beat)  {}
 
 func start(t *testing.T, app App, most int) (string, string) {
--- a/internal/sim/standby_test.go
+++ b/internal/sim/standby_test.go
@@ -34,6 +34,8 @@
 	return nil
 }
 
+func (h *takeOvers) logger() *slog.Logger { return slog.New(h) }
+
 // last tells whether the last take-over used its replica, and how many there were.
 func (h *takeOvers) last() (used bool, count int) {
 	h.mu.Lock()
@@ -48,7 +50,7 @@
 // which four are on a machine that hangs when the leader ends.
 func limited(standby bool) (Options, *takeOvers) {
 	seen := &takeOvers{}
-	return Options{Standby: standby, RunFor: 15 * time.Second, Apart: 300 * time.Millisecond, Log: slog.New(seen)}, seen
+	return Options{Standby: standby, RunFor: 15 * time.Second, Apart: 300 * time.Millisecond, Log: seen.logger()}, seen
 }
 
 // hangOne waits until the team's first tasks run, and has one machine hang.
@@ -212,7 +214,7 @@
 // start, end and are cancelled: the checker watches, and nothing waits for long.
 func TestLeadersEndAgainAndAgainWithReplicas(t *testing.T) {
 	seen := &takeOvers{}
-	Run(t, Options{Standby: true, RunFor: 12 * time.Second, Apart: 200 * time.Millisecond, Log: slog.New(seen)}, func(c *Cluster) {
+	Run(t, Options{Standby: true, RunFor: 12 * time.Second, Apart: 200 * time.Millisecond, Log: seen.logger()}, func(c *Cluster) {
 		for i := range 12 {
 			c.MustSubmit(c.Nodes()[i%3], Array(i+1, 6, []string{"a", "b"}[i%2]))
 			time.Sleep([]time.Duration{300 * time.Millisecond, 4 * time.Second, 20 * time.Second}[i%3])
--- a/internal/standby/publisher.go
+++ b/internal/standby/publisher.go
@@ -32,10 +32,11 @@
 	position Position
 	isHeard  bool
 
-	isAwaited bool // a message is under way
-	sentAt    clock.Micros
-	checkedAt clock.Micros
-	snapshot  *snapshot
+	lacksSince clock.Micros // something; 0: it has all
+	isAwaited  bool         // a message is under way
+	sentAt     clock.Micros
+	checkedAt  clock.Micros
+	snapshot   *snapshot
 }
 
 // snapshot is one that a follower is taking.
@@ -101,6 +102,9 @@
 // Next is the next message to a follower, if one is due.
 func (p *Publisher) Next(name string, now clock.Micros) (*Message, bool) {
 	f := p.followers[name]
+	if f != nil {
+		p.timeLag(f, now)
+	}
 	if f == nil || f.isAwaited && now-f.sentAt < resendAfter {
 		return nil, false
 	}
@@ -200,6 +204,23 @@
 	return p.sequence - f.position.Sequence
 }
 
+func (p *Publisher) timeLag(f *follower, now clock.Micros) {
+	switch {
+	case f.position.IsComplete && f.position.Sequence == p.sequence:
+		f.lacksSince = 0
+	case f.lacksSince == 0:
+		f.lacksSince = now
+	}
+}
+
+// LagTime is for how long a member's replica has lacked something.
+func (p *Publisher) LagTime(name string, now clock.Micros) clock.Micros {
+	if f := p.followers[name]; f != nil && f.lacksSince != 0 {
+		return now - f.lacksSince
+	}
+	return 0
+}
+
 // life is the life in which a member was last heard, 0 if it was not.
 func (p *Publisher) life(name string) uint64 {
 	if f := p.followers[name]; f != nil && f.isHeard {
--- a/internal/standby/replica.go
+++ b/internal/standby/replica.go
@@ -30,13 +30,13 @@
 // Counts are of messages that were not taken, by the reason.
 type Counts struct {
 	// Older: from a leader that has been replaced.
-	Older int
+	Older int `json:"older"`
 	// Gaps: after decisions that have not come, or parts out of order.
-	Gaps int
+	Gaps int `json:"gaps"`
 	// Malformed: over the bounds, or senseless.
-	Malformed int
+	Malformed int `json:"malformed"`
 	// Differing: the digest is another; the replica was thrown away.
-	Differing int
+	Differing int `json:"differing"`
 }
 
 // NewReplica makes an empty replica of a member's life.
@@ -145,6 +145,9 @@
 	return p
 }
 
+// Account is the copy as far as it goes; only Trusted says whether it may be believed.
+func (r *Replica) Account() *Account { return r.account }
+
 // Counts are of what was not taken so far.
 func (r *Replica) Counts() Counts { return r.counts }
 
--- /dev/null
+++ b/internal/tracing/tracing_test.go
@@ -0,0 +1,63 @@
+package tracing
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"firwood.dev/firwood/internal/clock"
+)
+
+// Two controllers that see the same take-over write spans of one trace, with the times
+// that were given.
+func TestControllersShareATrace(t *testing.T) {
+	ids := map[string]bool{}
+	for _, member := range []string{"n0", "n1"} {
+		path := filepath.Join(t.TempDir(), "trace.json")
+		tracer, err := New(path, member)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := clock.Now()
+		tracer.TakeOver(41, []Span{{Name: "lock", Began: now - 2*clock.Second, Ended: now}})
+		if err := tracer.Close(); err != nil {
+			t.Fatal(err)
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var span struct {
+			Name               string
+			SpanContext        struct{ TraceID string }
+			StartTime, EndTime time.Time
+		}
+		if err := json.Unmarshal(text, &span); err != nil {
+			t.Fatal(err)
+		}
+		if took := span.EndTime.Sub(span.StartTime); span.Name != "lock" || took < 1900*time.Millisecond || took > 2100*time.Millisecond {
+			t.Errorf("%s took %v", span.Name, took)
+		}
+		ids[span.SpanContext.TraceID] = true
+	}
+	if len(ids) != 1 {
+		t.Errorf("traces %v", ids)
+	}
+}
+
+// What is over the bound is dropped, and the writer is told nothing of it.
+func TestTracesAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	w := &boundedWriter{out: &out, left: 10}
+	for range 3 {
+		if n, err := w.Write([]byte("123456")); n != 6 || err != nil {
+			t.Fatal(n, err)
+		}
+	}
+	if out.Len() != 6 {
+		t.Errorf("%d bytes written", out.Len())
+	}
+}
--- a/test.sh
+++ b/test.sh
@@ -13,5 +13,7 @@
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/service.toml)
 sh -c "$build"
 go run ./internal/ci/runtests -race -count=1 -timeout 10m ./...
+# Everything in simulated time once more, with copies of the leader's account.
+go run ./internal/ci/runtests -count=1 -timeout 10m ./internal/sim -standby
 # The race detector can't follow the goroutines of thousands of stand-in workers.
 go run ./internal/ci/runtests -count=1 -timeout 10m ./internal/sim -run TestLargeFleet -fleet-sizes 4000
