--- a/internal/sim/standby_faults_test.go
+++ b/internal/sim/standby_faults_test.go
@@ -91,12 +91,13 @@
 func TestAFollowerOutOfStepGivesWay(t *testing.T) {
 	options, _ := limited(true)
 	Run(t, options, func(c *Cluster) {
-		for range 6 {
+		for round := range 6 {
 			c.Until("somebody leads", 30*time.Second, func() bool { return c.Leader() != "" })
 			leader := c.Leader()
 			behind, inStep := c.Others(leader)[0], c.Others(leader)[1]
 			time.Sleep(10 * time.Second)
 			c.Network.Cut("two", standin.Hosts(leader, behind))
+			c.MustSubmit(inStep, Array(round+1, 2, "a")) // what the other one lacks
 			time.Sleep(15 * time.Second)
 			c.Crash(leader)
 			c.Until("another leads", 15*time.Second, func() bool { return c.Leader() != "" })
