Workers are sent to a leader only while it is heard, or the state service answers

Found by a test of the standby: a controller that had lost the others and the state service, but not its workers, went on naming the leader it last knew. Change: nobody is named when no beat of the leader came for three seconds and the state service has not answered for twelve; the worker then tries the next node.

--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -55,6 +55,30 @@
 	return true
 }
 
+const (
+	// namedFor is for how long after its last beat a leader is named to workers, and
+	// lockNamedFor for how long after the state service last answered its holder is.
+	namedFor     = 3 * beatEvery
+	lockNamedFor = 12 * clock.Second
+)
+
+// leaderToName is who workers are sent to, empty if nobody is known well enough. A member
+// that hears neither the leader nor the state service names nobody: once one sent its
+// workers to a leader that was dead, whose next node in their lists it was itself, and they
+// went back and forth between the two for minutes while another one led.
+func (c *Core) leaderToName(now clock.Micros) string {
+	leader := c.leader()
+	if leader == c.cfg.Member {
+		return ""
+	}
+	seen := c.beats[leader]
+	isHeard := seen != nil && now-seen.at < namedFor
+	if !isHeard && now-c.store.LastOK() >= lockNamedFor {
+		return ""
+	}
+	return leader
+}
+
 func (c *Core) checkin(rep *wire.Report, r *server.Reply) {
 	c.workers[rep.Machine] = clock.Now()
 	if c.lead != nil && c.entitled() {
@@ -64,10 +88,7 @@
 	if c.answerAsDelegate(rep, r, clock.Now()) {
 		return
 	}
-	e := wire.Elsewhere{}
-	if l := c.leader(); l != c.cfg.Member {
-		e.ReportTo = l
-	}
+	e := wire.Elsewhere{ReportTo: c.leaderToName(clock.Now())}
 	body, err := e.MarshalJSON()
 	if err != nil {
 		body = []byte("{}")
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"slices"
 	"time"
 
 	"firwood.dev/firwood/internal/server"
@@ -86,3 +87,9 @@
 	time.Sleep(after)
 	c.Start(name)
 }
+
+// after is the controller that a worker tries after another.
+func (c *Cluster) after(name string) string {
+	nodes := c.Nodes()
+	return nodes[(slices.Index(nodes, name)+1)%len(nodes)]
+}
--- a/internal/sim/standby_test.go
+++ b/internal/sim/standby_test.go
@@ -23,6 +23,9 @@
 func (h *takeOvers) WithGroup(string) slog.Handler            { return h }
 
 func (h *takeOvers) Handle(_ context.Context, r slog.Record) error {
+	if r.Message != "account rebuilt" {
+		return nil
+	}
 	r.Attrs(func(a slog.Attr) bool {
 		if a.Key == "replica_used" {
 			h.mu.Lock()
--- a/internal/sim/zones_test.go
+++ b/internal/sim/zones_test.go
@@ -73,3 +73,18 @@
 		}
 	})
 }
+
+// A controller that loses the others and the state service, but not its workers, does not
+// send them to a leader that is dead by then: they find the one that leads.
+func TestWorkersLeaveAControllerThatIsCutOff(t *testing.T) {
+	Run(t, Options{RunFor: 15 * time.Second, Apart: 300 * time.Millisecond}, func(c *Cluster) {
+		c.MustSubmit("n0", Array(1, 60, "b"))
+		c.UntilOn("req-000001", 8)
+		leader := c.Leader()
+		lost := c.after(leader)
+		c.CutFromPeers(lost, true)
+		c.CutFromState(lost, true)
+		c.Crash(leader)
+		c.startAfter(90 * time.Second)
+	})
+}
