--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -79,6 +79,8 @@
 	learnt      learnt
 	// replica follows the leader's account, nil if that is turned off.
 	replica *standby.Replica
+	// begunAt is when this life began.
+	begunAt clock.Micros
 	// leaderHeard is when a beat of another member as leader last came.
 	leaderHeard   clock.Micros
 	takeOverTimes takeOverTimes
@@ -125,6 +127,7 @@
 		held:       map[string]clock.Micros{},
 		stamps:     map[string]delegation.Stamp{},
 		asked:      map[string]asked{},
+		begunAt:    clock.Now(),
 	}
 	c.toWorkers = client.NewPool(dial, c.sockets)
 	c.chunk = chunkOf(d.State.ValueKB)
--- a/internal/core/standby_preference.go
+++ b/internal/core/standby_preference.go
@@ -5,6 +5,7 @@
 
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/election"
+	"firwood.dev/firwood/internal/standby"
 )
 
 // giveWayFor is how long a member whose replica could not be used lets another one try for
@@ -22,12 +23,22 @@
 		if m.Name == c.cfg.Member && m.Life == c.replica.Position().Life {
 			return false
 		}
-		seen := c.beats[m.Name]
-		others = others || seen != nil && seen.beat.Life == m.Life && now-seen.at < 2*beatEvery
+		others = others || c.mayBeUp(m, now)
 	}
 	return others
 }
 
+// mayBeUp tells whether a member was heard lately in one of its lives. One that has just
+// begun its own has not had the time to hear anybody: once such a member, a moment after its
+// crash, was quicker than the one that stood by.
+func (c *Core) mayBeUp(m standby.Member, now clock.Micros) bool {
+	seen := c.beats[m.Name]
+	if seen == nil {
+		return now-c.begunAt < 2*beatEvery
+	}
+	return seen.beat.Life == m.Life && now-seen.at < 2*beatEvery
+}
+
 // acquireInTurn tries for the lock, after others that stand better.
 func (c *Core) acquireInTurn(lease uint64) {
 	if !c.givesWay(clock.Now()) {
--- a/internal/sim/standby_faults_test.go
+++ b/internal/sim/standby_faults_test.go
@@ -140,3 +140,29 @@
 		}
 	})
 }
+
+// The leader is back within a moment of its crash, without what it knew: the follower that
+// stands by gets the lead all the same.
+func TestALeaderThatIsBackAtOnceGivesWay(t *testing.T) {
+	options, seen := limited(true)
+	Run(t, options, func(c *Cluster) {
+		c.MustSubmit("n0", Array(1, 60, "b"))
+		c.UntilOn("req-000001", 8)
+		for range 4 {
+			time.Sleep(15 * time.Second)
+			_, before := seen.last()
+			leader := c.Leader()
+			for _, other := range c.Others(leader) {
+				c.Network.SetSlow(other, 12*time.Millisecond) // it would be the quicker one
+			}
+			c.Network.SetSlow(leader, 0)
+			c.Crash(leader)
+			c.Start(leader)
+			c.Until("somebody takes over", 15*time.Second, func() bool { _, count := seen.last(); return count > before })
+			if used, _ := seen.last(); !used {
+				t.Error("no replica was used")
+			}
+		}
+		c.UntilStage("n0", "req-000001", wire.JobDone, 6*time.Minute)
+	})
+}
