Standby: a leader in doubt passes its doubt on; a second death uses a proven copy

Need: a leader that ended before it had accounted for all machines named nobody, so the next one took every task of a begun job for one that may be anywhere: up to a lease and more, just when two troubles meet.

Change: what a new leader has in doubt is part of the account that followers copy, as placements without a machine, of tasks or of whole jobs. A doubt is told as over only after the place that a report has shown, or once a completion is durable. A leader that ends before a record of its own is in force has sent nothing, and says so in the lock; the copy of the leader before it is kept and used. The first record waits up to 300 ms for those that the last one names. Followers tell the form of messages they take: those of the first form get the account when nothing is in doubt any more, as before. Messages under a token that is not the lock's, and impossible doubts, are dropped and counted.

TestALeaderThatEndsInDoubt expected that a copy of an account in doubt is not believed. That was the limit which this lifts; now it expects that the copy is used and the doubt is no smaller than what was not proven.

--- a/cmd/firwood/main.go
+++ b/cmd/firwood/main.go
@@ -351,8 +351,10 @@
 		fmt.Fprintln(out, "standby is not enabled here")
 	}
 	if r := s.Replica; r != nil {
-		fmt.Fprintf(out, "replica: complete=%t token=%d decisions=%d placements=%d digest=%s\n", r.Complete, r.Token, r.Decisions, r.Placements, r.Digest)
-		fmt.Fprintf(out, "dropped: older=%d gaps=%d malformed=%d differing=%d\n", r.Dropped.Older, r.Dropped.Gaps, r.Dropped.Malformed, r.Dropped.Differing)
+		fmt.Fprintf(out, "replica: complete=%t token=%d decisions=%d placements=%d doubts=%d digest=%s\n",
+			r.Complete, r.Token, r.Decisions, r.Placements, r.Doubts, r.Digest)
+		fmt.Fprintf(out, "dropped: older=%d gaps=%d malformed=%d foreign=%d differing=%d\n",
+			r.Dropped.Older, r.Dropped.Gaps, r.Dropped.Malformed, r.Dropped.Foreign, r.Dropped.Differing)
 	}
 	for _, f := range s.Followers {
 		fmt.Fprintf(out, "%s: in step=%t, lacks %d decisions for %d ms\n", f.Member, f.InStep, f.Lacks, f.LacksMs)
--- a/internal/core/leadership.go
+++ b/internal/core/leadership.go
@@ -75,7 +75,7 @@
 func (c *Core) ttl() clock.Micros { return c.el.TTL() }
 
 func (c *Core) acquire(lease uint64) {
-	value, err := lockRecord{Member: c.cfg.Member, Lease: lease}.MarshalJSON()
+	value, err := lockRecord{Member: c.cfg.Member, Lease: lease, Standby: c.replica != nil}.MarshalJSON()
 	if err != nil {
 		return
 	}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -33,6 +33,9 @@
 type lockRecord struct {
 	Member string `json:"m"`
 	Lease  uint64 `json:"l"`
+	// Standby: the leader sends no start before a record of those in step with it, of its
+	// own, is in force.
+	Standby bool `json:"s,omitempty"`
 }
 
 // jobRecord is the value of a job's key: the submission while tasks of the job
--- a/internal/core/records_easyjson.go
+++ b/internal/core/records_easyjson.go
@@ -468,6 +468,12 @@
 			} else {
 				out.Lease = uint64(in.Uint64())
 			}
+		case "s":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Standby = bool(in.Bool())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -492,6 +498,11 @@
 		out.RawString(prefix)
 		out.Uint64(uint64(in.Lease))
 	}
+	if in.Standby {
+		const prefix string = ",\"s\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.Standby))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/core/standby.go
+++ b/internal/core/standby.go
@@ -28,6 +28,16 @@
 	s.publisher.Decide(standby.Decision{Kind: standby.Over, Placement: standby.Placement{Task: task, Attempt: attempt, Machine: machine}})
 }
 
+// Doubted implements ledger.Decisions.
+func (s *stream) Doubted(id string) {
+	s.publisher.Decide(standby.Decision{Kind: standby.Started, Placement: standby.Doubt(id)})
+}
+
+// DoubtOver implements ledger.Decisions.
+func (s *stream) DoubtOver(id string) {
+	s.publisher.Decide(standby.Decision{Kind: standby.Over, Placement: standby.Doubt(id)})
+}
+
 // MaySend implements ledger.Decisions.
 func (s *stream) MaySend(number uint64) bool { return s.membership.MaySend(number) }
 
@@ -48,6 +58,9 @@
 		v.standby = standby.Record{}
 		c.malformed(keyStandby, err)
 	}
+	if c.replica != nil {
+		c.replica.RecordSeen(v.standby.Token)
+	}
 	if c.lead != nil && c.lead.standby != nil {
 		c.lead.standby.membership.Seen(v.standby, version)
 	}
@@ -65,20 +78,17 @@
 		others = append(others, o.Member)
 	}
 	publisher := standby.NewPublisher(l.token, nil, others)
-	l.standby = &stream{publisher, standby.NewMembership(publisher, c.view.standby, c.view.standbyVersion, others)}
+	l.standby = &stream{publisher, standby.NewMembership(publisher, c.view.standby, c.view.standbyVersion, others, l.since)}
 	account.Decisions = l.standby
-	if copied, ok := c.replica.Trusted(c.view.standby, c.lastLeader(l.token), c.cfg.Member); ok {
+	if copied, ok := c.trustedReplica(); ok && c.view.leads.Last() == l.token {
 		account.MayRun = copied.MayRun
 	}
 }
 
-// lastLeader is the token of the leader before the one of a token, 0 if it is not known
-// that nobody led in between.
-func (c *Core) lastLeader(token uint64) uint64 {
-	if c.view.lockSeen != token {
-		return 0
-	}
-	return c.view.lockBefore
+// trustedReplica is this member's copy of the last leader's account that sent starts, if
+// it may be believed.
+func (c *Core) trustedReplica() (*standby.Account, bool) {
+	return c.replica.Trusted(c.view.standby, &c.view.leads, c.cfg.Member)
 }
 
 // heardStandby takes a message of the leader's stream, or a follower's answer to one.
@@ -99,14 +109,25 @@
 
 func (c *Core) answerStream(from string, m *standby.Message) {
 	before := c.replica.Counts()
-	position := c.replica.Take(m)
+	var position standby.Position
+	if c.isForeign(m.Token) {
+		position = c.replica.RefuseForeign()
+	} else {
+		position = c.replica.Take(m)
+	}
 	if after := c.replica.Counts(); after != before {
 		c.dropped("a message of the leader's stream was not taken", "from", from, "token", m.Token,
-			"older", after.Older, "gaps", after.Gaps, "malformed", after.Malformed, "differing", after.Differing)
+			"older", after.Older, "gaps", after.Gaps, "malformed", after.Malformed, "foreign", after.Foreign, "differing", after.Differing)
 	}
 	c.streamTo(from, &peer.Beat{Member: c.cfg.Member, Position: &position})
 }
 
+// isForeign tells whether a token is certainly not that of the lock: the view is as new as
+// the token, and has another one, or none.
+func (c *Core) isForeign(token uint64) bool {
+	return c.view.rev >= token && c.view.leads.Last() != token && c.view.lock.Exists
+}
+
 // streamTo sends a message of a stream to a member that takes such.
 func (c *Core) streamTo(member string, b *peer.Beat) {
 	seen := c.beats[member]
@@ -125,7 +146,6 @@
 	if l.standby == nil {
 		return
 	}
-	l.standby.membership.Hold(!l.lg.Accounted())
 	for _, o := range l.c.cfg.Others {
 		if message, ok := l.standby.publisher.Next(o.Member, now); ok {
 			l.c.streamTo(o.Member, &peer.Beat{Member: l.c.cfg.Member, Message: message})
--- a/internal/core/standby_preference.go
+++ b/internal/core/standby_preference.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"firwood.dev/firwood/internal/clock"
@@ -15,17 +16,13 @@
 // givesWay tells whether another member that is up has a replica that the last leader
 // vouched for, and this one has not. It is a preference: after giveWayFor this one tries.
 func (c *Core) givesWay(now clock.Micros) bool {
-	if c.replica == nil || c.view.standby.Token != c.view.lockSeen {
+	if c.replica == nil || !c.view.leads.BoundSince(c.view.standby.Token) {
 		return false
 	}
-	others := false
-	for _, m := range c.view.standby.Members {
-		if m.Name == c.cfg.Member && m.Life == c.replica.Position().Life {
-			return false
-		}
-		others = others || c.mayBeUp(m, now)
+	if _, ok := c.trustedReplica(); ok {
+		return false
 	}
-	return others
+	return slices.ContainsFunc(c.view.standby.Members, func(m standby.Member) bool { return c.mayBeUp(m, now) })
 }
 
 // mayBeUp tells whether a member was heard lately in one of its lives. One that has just
--- a/internal/core/standby_status.go
+++ b/internal/core/standby_status.go
@@ -29,7 +29,9 @@
 	Complete   bool   `json:"complete"`
 	Decisions  uint64 `json:"decisions"`
 	Placements int    `json:"placements"`
-	Digest     string `json:"digest"`
+	// Doubts are the placements of which the leader does not know where they are.
+	Doubts int    `json:"doubts"`
+	Digest string `json:"digest"`
 	// Dropped are messages that were not taken, by reason.
 	Dropped standby.Counts `json:"dropped"`
 }
@@ -128,7 +130,7 @@
 	default:
 		p, account := c.replica.Position(), c.replica.Account()
 		s.Replica = &ReplicaStatus{
-			Token: p.Token, Complete: p.IsComplete, Decisions: p.Sequence, Placements: account.Len(),
+			Token: p.Token, Complete: p.IsComplete, Decisions: p.Sequence, Placements: account.Len(), Doubts: account.Doubts(),
 			Digest: fmt.Sprintf("%016x", account.Digest()), Dropped: c.replica.Counts(),
 		}
 	}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -30,9 +30,8 @@
 	// standby is the record of those in step with a leader, with its version.
 	standby        standby.Record
 	standbyVersion uint64
-	// lockBefore is the version of the lock before the present one, 0 if it is not known:
-	// then somebody may have led in between.
-	lockBefore, lockSeen uint64
+	// leads are those that were seen since all keys were last read.
+	leads standby.Leads
 
 	waiters  []*waiter
 	syncing  int // syncs under way
@@ -104,8 +103,8 @@
 			c.malformed(key, err)
 			return
 		}
-		if version != v.lockSeen {
-			v.lockBefore, v.lockSeen = v.lockSeen, version
+		if version != v.leads.Last() {
+			v.leads.Seen(version, r.Standby)
 			c.seenTakeOver(version)
 		}
 		v.lock = election.Lock{Exists: true, Holder: r.Member, Lease: r.Lease, Version: version}
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -43,7 +43,7 @@
 	v.done = map[string]map[int]progressPart{}
 	v.rentals = map[string]*rentalRecord{}
 	v.lock = election.Lock{}
-	v.lockBefore, v.lockSeen = 0, 0
+	v.leads.Forget()
 	for i := range items {
 		c.put(items[i].Key, items[i].Value, items[i].Version)
 	}
--- a/internal/e2e/upgrade_test.go
+++ b/internal/e2e/upgrade_test.go
@@ -12,6 +12,49 @@
 // earlier is the version that is upgraded from and gone back to.
 var earlier = flag.String("earlier-version", "", "a revision in the repository's history to upgrade from and go back to; the present sources if empty")
 
+// earlierHasStandby tells whether the earlier version knows the settings of the standby.
+var earlierHasStandby = flag.Bool("earlier-has-standby", true, "the earlier version knows the settings of the standby")
+
+// Controllers are killed in turn, two within seconds, and come back as another version or
+// as the same one, with replicas on wherever a version has them. No rule is broken, and
+// everything accepted is served.
+func TestStandbyAcrossVersions(t *testing.T) {
+	d := deploy(t, lease)
+	d.standbySettings(t)
+	now := build(t, "")
+	before := now
+	if *earlier != "" {
+		before = build(t, *earlier)
+	}
+	settings := d.nodes["n0"].settings
+	restart := func(name, program string) {
+		d.nodes[name].settings = settings
+		if program == before && !*earlierHasStandby {
+			d.nodes[name].settings = ""
+		}
+		d.restart(t, name, program)
+	}
+	d.startAll(t, now)
+	submit, is := d.submitter(t), d.waiter(t)
+	const rounds = 6
+	var ids []string
+	for round := range rounds {
+		for i, program := range []string{before, now} {
+			name := d.names[(round+i)%len(d.names)]
+			id := fmt.Sprintf("req-%06d", 2*round+i)
+			ids = append(ids, id)
+			submit(d.nodes[d.names[(round+2)%len(d.names)]], id, wire.KindArray, 8)
+			time.Sleep(time.Duration(round) * 200 * time.Millisecond)
+			restart(name, program)
+		}
+		is(d.nodes[d.names[round%len(d.names)]], ids[len(ids)-1], wire.JobDone)
+	}
+	for _, id := range ids {
+		is(d.nodes["n1"], id, wire.JobDone)
+	}
+	d.check(t, rounds*16)
+}
+
 // An upgrade while jobs run and are cancelled, with a crash and an outage in the middle
 // of it; then pipelines, and once these are over a way back that stops part way and is
 // taken up again. No rule is broken, and everything accepted is served.
--- a/internal/ledger/decisions_test.go
+++ b/internal/ledger/decisions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 
 	"firwood.dev/firwood/internal/clock"
@@ -10,7 +11,9 @@
 
 // followed keeps what a follower of a ledger would know.
 type followed struct {
-	under   []string // tasks that may be under way
+	t       *testing.T
+	covered string   // a task or job that has to be covered after each decision, if set
+	under   []string // tasks that may be under way, and what is in doubt
 	number  uint64
 	allowed uint64 // the last decision that all followers have
 }
@@ -25,10 +28,17 @@
 	if i := slices.Index(f.under, task); i >= 0 {
 		f.under = slices.Delete(f.under, i, i+1)
 	}
+	if job, _, _ := strings.Cut(f.covered, "/"); job != "" && !slices.Contains(f.under, f.covered) && !slices.Contains(f.under, job) {
+		f.t.Errorf("%s is covered by nothing for a moment", f.covered)
+	}
 }
 
 func (f *followed) MaySend(number uint64) bool { return number <= f.allowed }
 
+func (f *followed) Doubted(id string) { f.Started(id, 0, "") }
+
+func (f *followed) DoubtOver(id string) { f.Over(id, 0, "") }
+
 func followedLedger(t *testing.T) (*Ledger, *Machine, *Job, *followed) {
 	f := &followed{allowed: 100}
 	l := New(Config{Token: 9, Lease: testLease, Decisions: f})
@@ -91,3 +101,80 @@
 		}
 	}
 }
+
+// doubtful is the ledger of a new leader with a job of which tasks may run, a machine, and
+// another one that is silent.
+func doubtful(t *testing.T, tasks int, mayRun func(string) bool) (*Ledger, *Machine, *Job, *followed) {
+	f := &followed{t: t, allowed: 100}
+	l := New(Config{Token: 9, Lease: testLease, Decisions: f, MayRun: mayRun})
+	for _, name := range []string{"i-0", "i-1"} {
+		l.AddMachine(name, "t", "x", false, Resources{64000, 0, 1 << 40}, 0).Recorded = true
+	}
+	j := l.AddJob(&wire.Job{ID: "req-000001", Kind: wire.KindArray, Tasks: tasks, CPUs: 1}, 0, 0, true, nil)
+	l.Settle()
+	return l, l.Machines["i-0"], j, f
+}
+
+// A task that was in doubt is told of as placed before its doubt is told of as over: in
+// between a follower would take it for one that is nowhere.
+func TestAPlaceIsToldBeforeADoubtIsOver(t *testing.T) {
+	task := wire.TaskID("req-000001", 1)
+	l, m, j, f := doubtful(t, 3, func(other string) bool { return other == task })
+	if !slices.Equal(f.under, []string{task}) {
+		t.Fatalf("told of %v", f.under)
+	}
+	f.covered = task
+	l.Report(m, listing("i-0", 1, 9, 3, 1), 1)
+	if j.Doubts() != 0 || !slices.Equal(f.under, []string{task}) {
+		t.Errorf("%d in doubt, told of %v", j.Doubts(), f.under)
+	}
+}
+
+// A task that was in doubt and turns out to be done is covered until its completion is
+// durable.
+func TestADoubtLastsUntilACompletionIsDurable(t *testing.T) {
+	for name, tasks := range map[string]int{"few": 3, "many": mostDoubtsTold + 1} {
+		l, m, j, f := doubtful(t, tasks, nil)
+		f.covered = wire.TaskID("req-000001", 0)
+		done := listing("i-0", 1, 9, 3)
+		done.Tasks = []wire.TaskReport{{Task: f.covered, Attempt: 3, State: wire.TaskExited, Why: wire.WhyDone}}
+		l.Report(m, done, 1)
+		l.MachineGone(l.Machines["i-1"], 2)
+		if j.DoneCount() != 1 || j.Doubts() != 0 {
+			t.Fatalf("%s: %d done, %d in doubt", name, j.DoneCount(), j.Doubts())
+		}
+		f.covered = ""
+		l.MadeDurable(j, []int{0})
+		if len(f.under) != 0 {
+			t.Errorf("%s: still told of %v", name, f.under)
+		}
+	}
+}
+
+// Many doubts of one job are told one by one where more is left of it, which may start.
+func TestManyDoubtsOfALargeJob(t *testing.T) {
+	const tasks = 2 * mostDoubtsTold
+	_, _, j, f := doubtful(t, tasks, func(task string) bool { return task != wire.TaskID("req-000001", 0) })
+	if j.Doubts() != tasks-1 || len(f.under) != tasks-1 {
+		t.Errorf("%d in doubt, told of %v", j.Doubts(), f.under)
+	}
+}
+
+// A job that is in doubt as a whole is told of as such, and its last tasks one by one.
+func TestAWholeJobInDoubt(t *testing.T) {
+	const tasks = mostDoubtsTold + 4
+	l, m, j, f := doubtful(t, tasks, nil)
+	if !slices.Equal(f.under, []string{"req-000001"}) {
+		t.Fatalf("told of %v", f.under)
+	}
+	l.Report(m, listing("i-0", 1, 9, 3, 0, 1, 2), 1)
+	if j.Doubts() != tasks-3 || !slices.Contains(f.under, "req-000001") || len(f.under) != 4 {
+		t.Fatalf("%d in doubt, told of %v", j.Doubts(), f.under)
+	}
+	f.covered = wire.TaskID("req-000001", tasks-1)
+	l.complete(j, 3)
+	l.MadeDurable(j, []int{3})
+	if j.Doubts() != mostDoubtsTold || slices.Contains(f.under, "req-000001") || len(f.under) != mostDoubtsTold+3 {
+		t.Errorf("%d in doubt, told of %v", j.Doubts(), f.under)
+	}
+}
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -59,6 +59,11 @@
 	waiting int
 	byZone  map[string]int
 	untold  []*Placement // that are over, and whose completion is not durable
+	// isDoubtWhole: followers were told that all that is left of the job is in doubt, and
+	// not of single tasks. untoldCleared are tasks that are in doubt no more, and whose
+	// completion is not durable.
+	isDoubtWhole  bool
+	untoldCleared []int
 	// Attempt of a gang in progress, 0 if none; Broken: it has to end; Under way: it
 	// has been seen running, all its tasks together.
 	Attempt  uint64
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -164,6 +164,7 @@
 		}
 	}
 	l.doubtUse(j, j.doubts)
+	l.decideDoubts(j)
 	return j
 }
 
@@ -202,6 +203,7 @@
 	if t.Place == nil {
 		l.doubtUse(j, -1)
 	}
+	l.decideCleared(j, i)
 }
 
 // doubtUse adds tasks to what a team may use beside its placements. A task that is in
@@ -224,15 +226,14 @@
 
 func (l *Ledger) completeOne(j *Job, i int) {
 	t := &j.Tasks[i]
-	l.clearDoubt(j, i)
-	if t.State == Done {
-		return
-	}
-	if t.State == Waiting {
-		j.waiting--
+	if t.State != Done {
+		if t.State == Waiting {
+			j.waiting--
+		}
+		t.State = Done
+		j.done++
 	}
-	t.State = Done
-	j.done++
+	l.clearDoubt(j, i)
 }
 
 // MadeDurable takes the news that completions are in the state service.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/standby"
 	"firwood.dev/firwood/wire"
 )
 
@@ -66,6 +67,39 @@
 	gangs     int // that were complete
 	copies    []*wire.Report
 	delegated clock.Micros // others may answer workers until then
+	follower  *follower    // of the present ledger
+	trusted   int          // take-overs that began with what a follower knew
+}
+
+// follower is the account of another controller that is told of each decision at once.
+type follower struct{ account *standby.Account }
+
+func (f *follower) apply(kind standby.Kind, p standby.Placement) {
+	f.account.Apply(standby.Decision{Kind: kind, Placement: p})
+}
+
+func (f *follower) Started(task string, attempt uint64, machine string) uint64 {
+	f.apply(standby.Started, standby.Placement{Task: task, Attempt: attempt, Machine: machine})
+	return 0
+}
+
+func (f *follower) Over(task string, attempt uint64, machine string) {
+	f.apply(standby.Over, standby.Placement{Task: task, Attempt: attempt, Machine: machine})
+}
+
+func (f *follower) Doubted(id string)   { f.apply(standby.Started, standby.Doubt(id)) }
+func (f *follower) DoubtOver(id string) { f.apply(standby.Over, standby.Doubt(id)) }
+func (f *follower) MaySend(uint64) bool { return true }
+
+// checkFollower holds what the follower knows to what is on machines.
+func (w *world) checkFollower() {
+	for _, k := range w.workers {
+		for id, t := range k.tasks {
+			if !k.gone && t.state != wire.TaskExited && !w.follower.account.MayRun(id) {
+				w.fatal("a follower would start %s, which is on %s", id, k.name)
+			}
+		}
+	}
 }
 
 func (w *world) fatal(format string, args ...any) {
@@ -95,6 +129,9 @@
 	case 2:
 		s.Zone = "y"
 	}
+	if i%7 == 6 {
+		s.Tasks = mostDoubtsTold + 2
+	}
 	w.ids = append(w.ids, id)
 	w.specs[id] = s
 	w.done[id] = map[int]bool{}
@@ -340,10 +377,18 @@
 
 func (w *world) takeOver() {
 	w.token += 1 + w.rng.Uint64N(4)
-	w.lg = New(Config{
+	cfg := Config{
 		Token: w.token, Lease: testLease, MayFence: 10 * clock.Second,
 		Teams: map[string]Team{"a": {CPUMax: w.limit}, "b": {CPUMax: w.limit}},
-	})
+	}
+	if w.follower != nil && w.rng.IntN(4) > 0 {
+		// The follower of the last leader, which may have been one itself.
+		cfg.MayRun = w.follower.account.MayRun
+		w.trusted++
+	}
+	w.follower = &follower{standby.NewAccount()}
+	cfg.Decisions = w.follower
+	w.lg = New(cfg)
 	for _, k := range w.workers {
 		if !k.gone {
 			w.lg.AddMachine(k.name, "t", k.zone, false, Resources{4000, 0, 1 << 40}, w.now).Recorded = true
@@ -402,7 +447,7 @@
 }
 
 func TestHistories(t *testing.T) {
-	total, gangs := 0, 0
+	total, gangs, trusted := 0, 0, 0
 	for seed := uint64(1); seed <= 4000; seed++ {
 		w := &world{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: clock.Second, specs: map[string]*wire.Job{}, marked: map[string]bool{},
 			done: map[string]map[int]bool{}, over: map[string]bool{}, limit: 5000}
@@ -617,6 +662,7 @@
 		slices.Sort(names)
 		for step := 0; step < 300; step++ {
 			actions[names[w.rng.IntN(len(names))]]()
+			w.checkFollower()
 			for _, m := range w.lg.Machines {
 				if due(m) && !m.outbox {
 					w.fatal("%s has a message due and is not in the outbox", m.Name)
@@ -653,10 +699,11 @@
 		}
 		total += w.starts
 		gangs += w.gangs
+		trusted += w.trusted
 	}
-	t.Logf("%d starts, %d gangs complete", total, gangs)
-	if total == 0 || gangs < 200 {
-		t.Fatalf("%d starts, %d gangs complete: the histories show too little", total, gangs)
+	t.Logf("%d starts, %d gangs complete, %d take-overs with what a follower knew", total, gangs, trusted)
+	if total == 0 || gangs < 200 || trusted < 1000 {
+		t.Fatal("the histories show too little")
 	}
 }
 
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -216,10 +216,10 @@
 		l.displace(old)
 	}
 	p.Stray = p.Stray || task.Place != nil || task.State == Done
+	l.put(p)
 	if synced {
-		l.clearDoubt(j, index)
+		l.clearDoubt(j, index) // after the place is told of, see decideCleared
 	}
-	l.put(p)
 	if j.Gang() && !p.Stray {
 		if clash || j.Attempt != 0 && j.Attempt != t.Attempt {
 			l.StopJob(j, 0)
--- a/internal/peer/fb/StandbyPosition.go
+++ b/internal/peer/fb/StandbyPosition.go
@@ -105,8 +105,20 @@
 	return rcv._tab.MutateUint32Slot(14, n)
 }
 
+func (rcv *StandbyPosition) Version() byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.GetByte(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *StandbyPosition) MutateVersion(n byte) bool {
+	return rcv._tab.MutateByteSlot(16, n)
+}
+
 func StandbyPositionStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(7)
 }
 func StandbyPositionAddLife(builder *flatbuffers.Builder, life uint64) {
 	builder.PrependUint64Slot(0, life, 0)
@@ -126,6 +138,9 @@
 func StandbyPositionAddParts(builder *flatbuffers.Builder, parts uint32) {
 	builder.PrependUint32Slot(5, parts, 0)
 }
+func StandbyPositionAddVersion(builder *flatbuffers.Builder, version byte) {
+	builder.PrependByteSlot(6, version, 0)
+}
 func StandbyPositionEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -51,7 +51,8 @@
 		}
 		if rapid.Bool().Draw(t, "has position") {
 			b.Position = &standby.Position{
-				Life: rapid.Uint64().Draw(t, "replica's life"), Token: rapid.Uint64().Draw(t, "replica's token"),
+				Version: rapid.Uint8().Draw(t, "version"),
+				Life:    rapid.Uint64().Draw(t, "replica's life"), Token: rapid.Uint64().Draw(t, "replica's token"),
 				IsComplete: rapid.Bool().Draw(t, "complete"), Sequence: rapid.Uint64().Draw(t, "sequence"),
 				Building: rapid.Uint64().Draw(t, "building"), Parts: rapid.IntRange(0, standby.MaxParts).Draw(t, "parts"),
 			}
--- a/internal/peer/standby.go
+++ b/internal/peer/standby.go
@@ -8,7 +8,7 @@
 )
 
 // StandbyVersion is that of the standby messages which this version takes.
-const StandbyVersion = 1
+const StandbyVersion = standby.Version
 
 // IsStandby tells whether the frame is one of a stream of decisions, or an answer to one,
 // and says nothing else.
@@ -75,6 +75,7 @@
 	fb.StandbyPositionAddSequence(fbb, p.Sequence)
 	fb.StandbyPositionAddBuilding(fbb, p.Building)
 	fb.StandbyPositionAddParts(fbb, uint32(p.Parts))
+	fb.StandbyPositionAddVersion(fbb, p.Version)
 	return fb.StandbyPositionEnd(fbb)
 }
 
@@ -90,7 +91,7 @@
 	if p := r.StandbyPosition(nil); p != nil {
 		b.Position = &standby.Position{
 			Life: p.Life(), Token: p.Token(), IsComplete: p.IsComplete(), Sequence: p.Sequence(),
-			Building: p.Building(), Parts: int(p.Parts()),
+			Building: p.Building(), Parts: int(p.Parts()), Version: p.Version(),
 		}
 	}
 	return nil
--- a/internal/sim/standby_test.go
+++ b/internal/sim/standby_test.go
@@ -17,10 +17,16 @@
 // takeOverPlays is how many take-overs are compared with and without replicas.
 var takeOverPlays = flag.Int("take-over-plays", 1, "how many take-overs are played with replicas and without")
 
-// takeOvers notes from the log whether new leaders used their replicas.
+// takeOver is what a new leader began with.
+type takeOver struct {
+	isReplicaUsed bool
+	inDoubt       int64 // tasks
+}
+
+// takeOvers notes take-overs from the log.
 type takeOvers struct {
 	mu   sync.Mutex
-	used []bool
+	seen []takeOver
 }
 
 func (h *takeOvers) Enabled(context.Context, slog.Level) bool { return true }
@@ -31,27 +37,38 @@
 	if r.Message != "account rebuilt" {
 		return nil
 	}
+	var seen takeOver
 	r.Attrs(func(a slog.Attr) bool {
-		if a.Key == "replica_used" {
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			h.used = append(h.used, a.Value.Bool())
+		switch a.Key {
+		case "replica_used":
+			seen.isReplicaUsed = a.Value.Bool()
+		case "in_doubt":
+			seen.inDoubt = a.Value.Int64()
 		}
 		return true
 	})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seen = append(h.seen, seen)
 	return nil
 }
 
 func (h *takeOvers) logger() *slog.Logger { return slog.New(h) }
 
-// last tells whether the last take-over used its replica, and how many there were.
-func (h *takeOvers) last() (used bool, count int) {
+// all are the take-overs so far.
+func (h *takeOvers) all() []takeOver {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.used) == 0 {
+	return slices.Clone(h.seen)
+}
+
+// last tells whether the last take-over used its replica, and how many there were.
+func (h *takeOvers) last() (used bool, count int) {
+	all := h.all()
+	if len(all) == 0 {
 		return false, 0
 	}
-	return h.used[len(h.used)-1], len(h.used)
+	return all[len(all)-1].isReplicaUsed, len(all)
 }
 
 // limited is a deployment where a team of many tasks has a limit of eight at a time, of
@@ -194,7 +211,8 @@
 }
 
 // A leader that itself does not know where tasks are, since the one before kept no
-// replicas, ends before it does. Its account lacks them, so nobody may believe a copy.
+// replicas, ends before it does. It passes its doubt on: the next one believes its copy,
+// which has the whole job in doubt, and starts nothing of it before that is over.
 func TestALeaderThatEndsInDoubt(t *testing.T) {
 	options, seen := limited(true)
 	options.WithoutStandby = []string{"n0"}
@@ -206,8 +224,11 @@
 		time.Sleep(4 * time.Second)
 		c.Crash(c.Leader())
 		c.Until("the third leads", time.Minute, func() bool { return c.Leader() != "" })
-		if used, _ := seen.last(); used {
-			t.Error("a replica of an account in doubt was used")
+		all := seen.all()
+		last, before := all[len(all)-1], all[len(all)-2]
+		// Of the eight that ran some may be durably done by now.
+		if !last.isReplicaUsed || before.isReplicaUsed || last.inDoubt > before.inDoubt || last.inDoubt < before.inDoubt-8 {
+			t.Errorf("%+v after %+v", last, before)
 		}
 		time.Sleep(20 * time.Second)
 		c.UntilStage(c.Leader(), "req-000001", wire.JobDone, 6*time.Minute)
@@ -244,9 +265,7 @@
 		for i := range 12 {
 			c.UntilStage("n1", Array(i+1, 1, "a").ID, wire.JobDone, 3*time.Minute)
 		}
-		seen.mu.Lock()
-		defer seen.mu.Unlock()
-		if !slices.Contains(seen.used, true) {
+		if !slices.ContainsFunc(seen.all(), func(o takeOver) bool { return o.isReplicaUsed }) {
 			t.Error("no take-over used its replica")
 		}
 	})
--- a/internal/standby/account.go
+++ b/internal/standby/account.go
@@ -7,10 +7,12 @@
 	"github.com/tidwall/btree"
 )
 
-// Account is the set of placements that may be under way, with a digest of it.
+// Account is the set of placements that may be under way, doubts included, with a digest
+// of it.
 type Account struct {
 	places *btree.BTreeG[Placement]
-	tasks  map[string]int // placements by task
+	tasks  map[string]int // placements by task, and doubts by what they are of
+	doubts int
 	digest uint64
 }
 
@@ -39,6 +41,9 @@
 	}
 	a.tasks[p.Task]++
 	a.digest += hash(p)
+	if p.IsDoubt() {
+		a.doubts++
+	}
 }
 
 func (a *Account) remove(p Placement) {
@@ -46,17 +51,24 @@
 		return
 	}
 	a.digest -= hash(p)
+	if p.IsDoubt() {
+		a.doubts--
+	}
 	if a.tasks[p.Task]--; a.tasks[p.Task] == 0 {
 		delete(a.tasks, p.Task)
 	}
 }
 
-// MayRun tells whether a placement of the task may be under way.
-func (a *Account) MayRun(task string) bool { return a.tasks[task] > 0 }
+// MayRun tells whether a placement of the task may be under way: one that is known, or
+// one that the task or its job is in doubt of.
+func (a *Account) MayRun(task string) bool { return a.tasks[task] > 0 || a.tasks[jobOf(task)] > 0 }
 
-// Len is how many placements may be under way.
+// Len is how many placements may be under way, doubts included.
 func (a *Account) Len() int { return a.places.Len() }
 
+// Doubts is how many tasks, or whole jobs, are in doubt.
+func (a *Account) Doubts() int { return a.doubts }
+
 // Digest is the same for equal sets, however they came about.
 func (a *Account) Digest() uint64 { return a.digest }
 
--- a/internal/standby/membership.go
+++ b/internal/standby/membership.go
@@ -26,8 +26,14 @@
 	return r.Token == other.Token && slices.Equal(r.Members, other.Members)
 }
 
-// lagAllowed is for how long a member in step may hold up starts before it is left out.
-const lagAllowed = clock.Second / 2
+const (
+	// lagAllowed is for how long a member in step may hold up starts before it is left out.
+	lagAllowed = clock.Second / 2
+	// firstRecordWait is how long a new leader waits for the members that the last record
+	// names before it writes its own. One that names nobody would make its successor
+	// begin without a replica, should the leader end within moments.
+	firstRecordWait = 300 * clock.Millisecond
+)
 
 // Membership is a leader's account of who is in step. A member counts from before the
 // write that names it is sent until one that does not name it is durable: whichever
@@ -41,20 +47,20 @@
 	// open are records whose write may be, or may yet be, carried out.
 	open      []Record
 	isWriting bool
-	isHeld    bool
+	// waitUntil is how long the first record waits for the members that the found one names.
+	waitUntil clock.Micros
 	behind    map[string]clock.Micros // since when a member in step has lacked something
 }
 
 // NewMembership makes the account of a leader that has read a record at a version. The
 // record is an earlier leader's, so nothing may be sent before one of its own is durable.
-func NewMembership(publisher *Publisher, found Record, version uint64, names []string) *Membership {
-	return &Membership{publisher: publisher, names: names, durable: found, version: version, behind: map[string]clock.Micros{}}
+func NewMembership(publisher *Publisher, found Record, version uint64, names []string, now clock.Micros) *Membership {
+	return &Membership{
+		publisher: publisher, names: names, durable: found, version: version,
+		waitUntil: now + firstRecordWait, behind: map[string]clock.Micros{},
+	}
 }
 
-// Hold has nobody named, or ends that: while tasks may run of which the leader's account
-// knows no place, nobody may believe a replica of it.
-func (m *Membership) Hold(hold bool) { m.isHeld = hold }
-
 // required are the members that any record names which may be in force.
 func (m *Membership) required() []Member {
 	var all []Member
@@ -90,8 +96,12 @@
 	}
 	wanted := Record{Token: m.publisher.token}
 	for _, name := range m.names {
-		if member, ok := m.inStep(name, now); ok && !m.isHeld {
+		member, ok := m.inStep(name, now)
+		switch {
+		case ok:
 			wanted.Members = append(wanted.Members, member)
+		case m.isAwaited(name, now):
+			return Record{}, 0, false
 		}
 	}
 	if wanted.equal(m.durable) && len(m.open) == 0 {
@@ -102,6 +112,14 @@
 	return wanted, m.version, true
 }
 
+// isAwaited tells whether the leader's first record waits for a member.
+func (m *Membership) isAwaited(name string, now clock.Micros) bool {
+	if now >= m.waitUntil || m.durable.Token == m.publisher.token {
+		return false
+	}
+	return slices.ContainsFunc(m.durable.Members, func(member Member) bool { return member.Name == name })
+}
+
 // inStep tells whether a member is to be named: it has all that there is, or is named
 // already and has not lacked anything for long.
 func (m *Membership) inStep(name string, now clock.Micros) (Member, bool) {
--- a/internal/standby/message.go
+++ b/internal/standby/message.go
@@ -37,10 +37,20 @@
 	Digest uint64
 }
 
+// Version is that of the messages which this version takes. The first one knew no doubts:
+// a follower of that version would take a job that is in doubt for one that is nowhere.
+const Version = 2
+
+// firstWithDoubts is the first version whose followers may be told of doubts.
+const firstWithDoubts = 2
+
 // Position is where a follower stands; it is the answer to each message.
 type Position struct {
 	// Life tells lives of a member apart.
 	Life uint64
+	// Version is that of the messages which the member takes in that life; the first
+	// version does not tell it, so it is 0 there.
+	Version uint8
 	// Token is that of the leader whose stream it follows.
 	Token uint64
 	// IsComplete: the replica is the leader's account after decision Sequence.
@@ -58,11 +68,19 @@
 	if len(m.Decisions) > MaxDecisions || m.Token == 0 {
 		return false
 	}
-	for i := range m.Decisions {
-		if kind := m.Decisions[i].Kind; kind != Started && kind != Over {
+	for _, d := range m.Decisions {
+		if d.Kind != Started && d.Kind != Over || !d.Placement.isValid() {
+			return false
+		}
+	}
+	return m.Part == nil || m.Part.isWithinBounds()
+}
+
+func (p *Part) isWithinBounds() bool {
+	for _, placement := range p.Placements {
+		if !placement.isValid() {
 			return false
 		}
 	}
-	p := m.Part
-	return p == nil || len(p.Placements) <= MaxPlacements && p.Of >= 1 && p.Of <= MaxParts && p.Number >= 0 && p.Number < p.Of
+	return len(p.Placements) <= MaxPlacements && p.Of >= 1 && p.Of <= MaxParts && p.Number >= 0 && p.Number < p.Of
 }
--- a/internal/standby/publisher.go
+++ b/internal/standby/publisher.go
@@ -23,6 +23,8 @@
 	account  *Account
 	sequence uint64
 	log      []Decision // the last ones, up to sequence
+	// lastDoubt is the number of the last decision about a doubt.
+	lastDoubt uint64
 
 	followers map[string]*follower
 }
@@ -71,6 +73,9 @@
 		p.log = append(p.log[:0], p.log[logLength/2:]...)
 	}
 	p.log = append(p.log, d)
+	if d.Placement.IsDoubt() {
+		p.lastDoubt = p.sequence
+	}
 	return p.sequence
 }
 
@@ -120,7 +125,9 @@
 	m := &Message{Token: p.token, Check: &Check{p.sequence, p.account.Digest()}}
 	first := p.sequence - uint64(len(p.log)) // the number before the first one kept
 	switch {
-	case !f.position.IsComplete || f.position.Sequence < first:
+	case !p.mayFollow(f):
+		return p.greeting(f, now)
+	case !f.position.IsComplete || f.position.Sequence < max(first, p.leastFor(f)):
 		m.Part = p.part(f)
 		m.Check = nil
 	case f.position.Sequence < p.sequence:
@@ -139,6 +146,31 @@
 	return m
 }
 
+// mayFollow tells whether the follower can take the account as it is. One of the first
+// version cannot as long as there are doubts, and neither may one whose version is not
+// known yet.
+func (p *Publisher) mayFollow(f *follower) bool {
+	return p.account.Doubts() == 0 || f.isHeard && f.position.Version >= firstWithDoubts
+}
+
+// leastFor is the decision that a follower has to be past to be told the ones after it;
+// else it takes a snapshot.
+func (p *Publisher) leastFor(f *follower) uint64 {
+	if f.position.Version >= firstWithDoubts {
+		return 0
+	}
+	return p.lastDoubt
+}
+
+// greeting is a message that says only who leads. Its answer tells the follower's version.
+func (p *Publisher) greeting(f *follower, now clock.Micros) *Message {
+	if f.isHeard && now-f.checkedAt < checkEvery {
+		return nil
+	}
+	f.checkedAt = now
+	return &Message{Token: p.token}
+}
+
 // part is the part of a snapshot that a follower takes next. One that has fallen behind
 // the log while it took a snapshot begins with another.
 func (p *Publisher) part(f *follower) *Part {
@@ -189,10 +221,15 @@
 	s.parts++
 }
 
-// Has tells whether a member's replica, in one of its lives, has a decision.
+// Has tells whether a member's replica, in one of its lives, has a decision. One of the
+// first version has none as long as there are doubts: it may have been given a snapshot that
+// was sent to an earlier life, of a later version.
 func (p *Publisher) Has(m Member, sequence uint64) bool {
 	f := p.followers[m.Name]
-	return f != nil && f.isHeard && f.position.Life == m.Life && f.position.IsComplete && f.position.Sequence >= sequence
+	if f == nil || !p.mayFollow(f) {
+		return false
+	}
+	return f.isHeard && f.position.Life == m.Life && f.position.IsComplete && f.position.Sequence >= sequence
 }
 
 // Lag is how many decisions a member's replica lacks; all of them if it is not complete.
--- a/internal/standby/replica.go
+++ b/internal/standby/replica.go
@@ -1,7 +1,16 @@
 package standby
 
+import "slices"
+
+// mostEarlier bounds how many replicas of earlier leaders are kept.
+const mostEarlier = 3
+
 // Replica is a follower's copy of the leader's account. One that differs, or misses a
 // decision, is never used: it is thrown away, and asks for all of the account.
+//
+// The replica of an earlier leader is kept as it was, as long as the record of those in
+// step may still be that leader's: a new leader that ends before it has written a record
+// of its own has sent no start.
 type Replica struct {
 	life  uint64
 	token uint64
@@ -15,7 +24,17 @@
 	told uint64
 
 	building *building
-	counts   Counts
+	// earlier are complete replicas of earlier leaders, the oldest first.
+	earlier []earlierReplica
+	counts  Counts
+}
+
+// earlierReplica is the account of an earlier leader after the last decision that it was
+// told of. That leader can't have sent a start after it while the member was in step, since
+// nobody answers it any more.
+type earlierReplica struct {
+	token   uint64
+	account *Account
 }
 
 // building is a snapshot that has not come whole.
@@ -35,6 +54,8 @@
 	Gaps int `json:"gaps"`
 	// Malformed: over the bounds, or senseless.
 	Malformed int `json:"malformed"`
+	// Foreign: under a token that is not the lock's.
+	Foreign int `json:"foreign"`
 	// Differing: the digest is another; the replica was thrown away.
 	Differing int `json:"differing"`
 }
@@ -58,15 +79,40 @@
 	return r.Position()
 }
 
+// RefuseForeign counts a message that was not given to Take, since its token is known not
+// to be the lock's.
+func (r *Replica) RefuseForeign() Position {
+	r.counts.Foreign++
+	return r.Position()
+}
+
 // follow begins anew under a newer leader: what an earlier one told says nothing of it.
 func (r *Replica) follow(token uint64) {
 	if token == r.token {
 		return
 	}
+	if r.isComplete {
+		r.keep(earlierReplica{r.token, r.account})
+	}
 	r.token, r.told = token, 0
 	r.discard()
 }
 
+// keep keeps a replica that is followed no further. Beyond the bound the oldest stays,
+// whose record was in force when RecordSeen was last told, and the newest ones.
+func (r *Replica) keep(e earlierReplica) {
+	r.earlier = append(r.earlier, e)
+	if len(r.earlier) > mostEarlier {
+		r.earlier = slices.Delete(r.earlier, 1, 2)
+	}
+}
+
+// RecordSeen takes the token of the record that is in force. Replicas of leaders before
+// it are of no more use, since the record's tokens only grow.
+func (r *Replica) RecordSeen(token uint64) {
+	r.earlier = slices.DeleteFunc(r.earlier, func(e earlierReplica) bool { return e.token < token })
+}
+
 func (r *Replica) discard() {
 	r.account, r.isComplete, r.sequence, r.building = NewAccount(), false, 0, nil
 }
@@ -138,7 +184,7 @@
 	if r.isComplete {
 		r.told = max(r.told, r.sequence)
 	}
-	p := Position{Life: r.life, Token: r.token, IsComplete: r.isComplete, Sequence: r.sequence}
+	p := Position{Life: r.life, Version: Version, Token: r.token, IsComplete: r.isComplete, Sequence: r.sequence}
 	if r.building != nil {
 		p.Building, p.Parts = r.building.sequence, r.building.parts
 	}
@@ -151,13 +197,21 @@
 // Counts are of what was not taken so far.
 func (r *Replica) Counts() Counts { return r.counts }
 
-// Trusted is the account, if what is durable says that it has every start which the last
-// leader has sent: the record of those in step is that leader's and names this life, no
-// other leader has held the lock in between, and the replica is that leader's.
-func (r *Replica) Trusted(record Record, lastLeader uint64, self string) (*Account, bool) {
-	isNamed := record.names(Member{Name: self, Life: r.life})
-	if !isNamed || !r.isComplete || r.token != record.Token || lastLeader != record.Token {
+// Trusted is the account, if what is durable says that it covers all that may run: the
+// record of those in step names this life of the member, every leader since the record's
+// was bound to write a record of its own before it sent a start, and the replica is of the
+// record's leader.
+func (r *Replica) Trusted(record Record, leads *Leads, self string) (*Account, bool) {
+	if !record.names(Member{Name: self, Life: r.life}) || !leads.BoundSince(record.Token) {
 		return nil, false
 	}
-	return r.account, true
+	if r.token == record.Token {
+		return r.account, r.isComplete
+	}
+	for _, e := range r.earlier {
+		if e.token == record.Token {
+			return e.account, true
+		}
+	}
+	return nil, false
 }
