Finished jobs are remembered up to a bound and looked up; the standby is on by default

Change: package finished. A controller remembers the newest finished jobs, as many as a sixteenth of its memory takes (`finished_jobs`), and asks the state service for others. An absent record is proven for many jobs at once by a transaction that only compares, sent after the question. Jobs that await a forgotten one wait until its record was read. Loading goes page by page and keeps no more than is remembered. Nothing stored changes its form, so versions work side by side, and there is nothing to go back from.

--- a/internal/config/tuning.go
+++ b/internal/config/tuning.go
@@ -54,6 +54,9 @@
 	// The most machines that the deployment is to have, by which its limits are
 	// checked; 0: not said.
 	FleetMachines int `yaml:"fleet_machines"`
+	// How many finished jobs a controller remembers, beside which it asks the state
+	// service; 0 derives it from its memory.
+	FinishedJobs int `yaml:"finished_jobs"`
 	// Whether, and how, followers keep a copy of the leader's account.
 	Standby Standby `yaml:"standby"`
 }
@@ -66,6 +69,10 @@
 	Trace string `yaml:"trace"`
 }
 
+// leastFinishedJobs is how many finished jobs a controller has to remember, if it is said:
+// users ask for a job until they are told of its end.
+const leastFinishedJobs = 100
+
 // DefaultTuning holds the named defaults.
 func DefaultTuning() Tuning {
 	return Tuning{
@@ -75,6 +82,7 @@
 		ScreenCV: 0.45, ScreenLag: 0.65, ScreenKS: 3.75,
 		SmoothArrival: 0.2, SmoothService: 0.1, SmoothNeed: 0.1, HorizonS: 600,
 		SpotPatienceS: 40, AgeAfterS: 150, GangWeight: 5,
+		Standby: Standby{Enabled: true},
 	}
 }
 
@@ -134,6 +142,7 @@
 		{positive(t.AgeAfterS), "age_after_s", "is not above 0"},
 		{notNegative(t.GangWeight), "gang_weight", "is below 0"},
 		{t.FleetMachines >= 0, "fleet_machines", "is below 0"},
+		{t.FinishedJobs == 0 || t.FinishedJobs >= leastFinishedJobs, "finished_jobs", "is not 0 or at least 100"},
 		{t.Standby.Trace == "" || t.Standby.Trace == "stderr" || filepath.IsAbs(t.Standby.Trace), "standby.trace", "is not \"stderr\" or the full path of a file"},
 		{t.Standby.Trace == "" || t.Standby.Enabled, "standby.trace", "is set while standby.enabled is not"},
 	}
--- a/internal/core/cleanup.go
+++ b/internal/core/cleanup.go
@@ -73,6 +73,9 @@
 		found[id] = len(l.leftoverKeys(id)) > 0
 	}
 	for id := range l.c.view.done {
+		if l.c.mayBeForgotten(id) {
+			l.c.recallForOthers(id) // a late write came after the job was forgotten
+		}
 		found[id] = len(l.leftoverKeys(id)) > 0
 	}
 	maps.DeleteFunc(found, func(_ string, left bool) bool { return !left })
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	"firwood.dev/firwood/internal/config"
 	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/internal/election"
+	"firwood.dev/firwood/internal/finished"
 	"firwood.dev/firwood/internal/ledger"
 	"firwood.dev/firwood/internal/peer"
 	"firwood.dev/firwood/internal/pipeline"
@@ -59,6 +60,13 @@
 	typesBusy bool
 	typesAt   clock.Micros
 
+	// finished are the finished jobs of the view, finishedKept how many are kept,
+	// forgotten what is left of the others; lookups ask for those.
+	finished     *finished.Memory
+	finishedKept int
+	forgotten    forgottenJobs
+	lookups      *finished.Lookups
+
 	submitting map[string][]*server.Reply
 	counts     jobCounts
 	workers    map[string]clock.Micros
@@ -128,6 +136,9 @@
 		asked:      map[string]asked{},
 		begunAt:    clock.Now(),
 	}
+	c.finishedKept = finishedKept(tuning.FinishedJobs, d.Limits.RAMMB)
+	c.finished = finished.NewMemory(c.finishedKept)
+	c.lookups = finished.NewLookups(mostLookups, min(4*d.State.Effective().TxnOps, mostAsked))
 	c.toWorkers = client.NewPool(dial, c.sockets)
 	c.chunk = chunkOf(d.State.ValueKB)
 	w := &d.Workers
@@ -222,6 +233,8 @@
 			c.lead.tick(now)
 		}
 	}
+	c.forgetFinished()
+	c.lookUp(now)
 	c.leads.Store(c.lead != nil && c.entitled())
 	c.tellWithdrawals(now)
 	c.beat(now)
--- /dev/null
+++ b/internal/core/finished_bench_test.go
@@ -0,0 +1,56 @@
+package core
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/wire"
+)
+
+// finishedPage is a page of records of finished jobs, from a number on.
+func finishedPage(b *testing.B, first, jobs int) (items []wire.Item, size int) {
+	for i := first; i < first+jobs; i++ {
+		id := fmt.Sprintf("req-%08d", i)
+		now := clock.Wall()
+		r := &jobRecord{At: int64(now), Job: &wire.Job{ID: id, Class: "reproject", Tasks: 90, DeadlineS: 600}}
+		over := overRecord(r, wire.JobDone, now+clock.Micros(i))
+		over.First = int64(now)
+		value, err := over.MarshalJSON()
+		if err != nil {
+			b.Fatal(err)
+		}
+		items = append(items, wire.Item{Key: prefixJob + id, Value: value, Version: uint64(i + 1)})
+		size += len(prefixJob+id) + len(value)
+	}
+	return items, size
+}
+
+// A controller begins with the records of so many finished jobs, of which it remembers as
+// many as 125 MB allow, or all of them.
+func BenchmarkFinishedJobs(b *testing.B) {
+	const page = 1000
+	for _, jobs := range []int{50_000, 500_000} {
+		for name, kept := range map[string]int{"bounded": finishedKept(0, 125), "all": jobs} {
+			b.Run(fmt.Sprint(jobs, "/", name), func(b *testing.B) {
+				for b.Loop() {
+					c := rebuilt(b).c
+					c.finishedKept = kept
+					before, stored := heapInUse(), 0
+					filter := newLoadFilter(kept)
+					for first := 0; first < jobs; first += page {
+						items, size := finishedPage(b, first, page)
+						stored += size
+						filter.add(items)
+					}
+					c.loaded(filter, uint64(jobs))
+					filter = nil
+					b.ReportMetric((heapInUse()-before)/1e6, "MB-memory")
+					b.ReportMetric(float64(stored)/float64(jobs), "B-stored/job")
+					runtime.KeepAlive(c)
+				}
+			})
+		}
+	}
+}
--- a/internal/core/morning.go
+++ b/internal/core/morning.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 
@@ -41,7 +42,11 @@
 
 func (c *Core) morning(r *server.Reply) {
 	now := int64(clock.Wall())
-	m := MorningReport{Member: c.cfg.Member, Jobs: len(c.view.jobs), Troubles: []Trouble{}}
+	gone := c.forgotten.counts
+	m := MorningReport{
+		Member: c.cfg.Member, Jobs: len(c.view.jobs) + gone.done + gone.aborted, Done: gone.done, Aborted: gone.aborted,
+		Troubles: append([]Trouble{}, c.forgotten.troubles...),
+	}
 	for id, rec := range c.view.jobs {
 		switch rec.state() {
 		case wire.JobDone:
@@ -55,21 +60,7 @@
 			m.Troubles = append(m.Troubles, t)
 		}
 	}
-	slices.SortFunc(m.Troubles, func(a, b Trouble) int {
-		if a.LateByS != b.LateByS {
-			if a.LateByS > b.LateByS {
-				return -1
-			}
-			return 1
-		}
-		if a.Job < b.Job {
-			return -1
-		}
-		return 1
-	})
-	if len(m.Troubles) > mostTroubles {
-		m.Troubles = m.Troubles[:mostTroubles]
-	}
+	m.Troubles = worst(m.Troubles)
 	body, err := json.Marshal(m)
 	if err != nil {
 		later(r, "cannot be encoded")
@@ -78,6 +69,14 @@
 	r.Send(200, body, 0)
 }
 
+// worst is the worst of some troubles, as many as are told.
+func worst(troubles []Trouble) []Trouble {
+	slices.SortFunc(troubles, func(a, b Trouble) int {
+		return cmp.Or(-cmp.Compare(a.LateByS, b.LateByS), cmp.Compare(a.Job, b.Job))
+	})
+	return troubles[:min(len(troubles), mostTroubles)]
+}
+
 // lateAfter is the class's aim for finishing, 0 if it has none.
 func (c *Core) lateAfter(class string) clock.Micros {
 	var most clock.Micros
--- a/internal/core/pipeline_bench_test.go
+++ b/internal/core/pipeline_bench_test.go
@@ -93,34 +93,3 @@
 		})
 	}
 }
-
-// What a job that is over costs for good: bytes of its record in the state service, and
-// of memory in each controller.
-func BenchmarkFinishedJobs(b *testing.B) {
-	for b.Loop() {
-		const jobs = 50000
-		core := rebuilt(b).c
-		values := map[string][]byte{}
-		stored := 0
-		for i := range jobs {
-			id := fmt.Sprintf("req-%06d", i)
-			r := &jobRecord{At: int64(clock.Wall()), Job: &wire.Job{ID: id, Class: "reproject", Tasks: 90, DeadlineS: 600}}
-			over := overRecord(r, wire.JobDone, clock.Wall())
-			over.First = int64(clock.Wall())
-			v, err := over.MarshalJSON()
-			if err != nil {
-				b.Fatal(err)
-			}
-			values[prefixJob+id] = v
-			stored += len(prefixJob+id) + len(v)
-		}
-		before := heapInUse()
-		for key, value := range values {
-			core.put(key, value, 5)
-		}
-		b.ReportMetric((heapInUse()-before)/jobs, "B-memory/job")
-		b.ReportMetric(float64(stored)/jobs, "B-stored/job")
-		runtime.KeepAlive(core)
-		runtime.KeepAlive(values)
-	}
-}
--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -51,6 +51,7 @@
 		if !whole {
 			return // the rest comes with the same transaction
 		}
+		c.recallNeeds(needs)
 		c.carryOut(c.graph.Add(pipeline.Job{
 			ID: id, Needs: needs, Submitted: clock.Micros(r.At), Urgency: urgency(r),
 			Run: clock.FromSeconds(r.Job.EstimateS) + startTime,
@@ -58,6 +59,19 @@
 	}
 }
 
+// recallNeeds looks up jobs that a new job awaits and that were forgotten. It waits for
+// them until they are known.
+func (c *Core) recallNeeds(needs []string) {
+	if !c.view.loaded {
+		return // recallAwaited looks at all
+	}
+	for _, id := range needs {
+		if c.mayBeForgotten(id) {
+			c.recallForOthers(id)
+		}
+	}
+}
+
 // blocked tells whether a job that is not over must not start yet.
 func (c *Core) blocked(id string, r *jobRecord) bool {
 	_, whole := c.awaits(id, r)
@@ -115,10 +129,13 @@
 // refuseProven answers 422 once the view is new enough to say so: what was accepted,
 // by any controller, is never refused.
 func (c *Core) refuseProven(j *wire.Job, r *server.Reply, why func() string, otherwise func()) {
+	forgotten := c.forgotten.times
 	c.view.wantSync(func(err error) {
 		switch rec := c.view.jobs[j.ID]; {
 		case err != nil:
 			later(r, err.Error())
+		case rec == nil && c.forgotten.times != forgotten:
+			later(r, "it may have been forgotten meanwhile")
 		case rec != nil:
 			r.Send(200, c.status(j.ID, rec), 0)
 		case why() != "":
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -73,6 +73,10 @@
 // that it needs.
 func (r *jobRecord) over() bool { return r.State != "" || r.cancelledWith }
 
+// isFinished tells whether the job is over by its own record, and no task of it may be
+// anywhere: the record is its last one.
+func (r *jobRecord) isFinished() bool { return r.State != "" && r.Job == nil }
+
 // state is what users are told of a job that is over.
 func (r *jobRecord) state() string {
 	if r.cancelledWith {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -85,6 +85,21 @@
 		later(r, "not ready")
 		return
 	}
+	c.withAwaited(j, r, func(absent map[string]bool) { c.submitKnown(j, r, absent) })
+}
+
+// submitKnown takes a submission once what it names is in the view or known to be absent.
+func (c *Core) submitKnown(j *wire.Job, r *server.Reply, absent map[string]bool) {
+	if c.view.jobs[j.ID] != nil || c.mayBeForgotten(j.ID) && !absent[j.ID] {
+		c.show(j.ID, r)
+		return
+	}
+	for _, id := range j.Awaits {
+		if c.mayBeForgotten(id) && !absent[id] {
+			later(r, "what it awaits was forgotten again") // for want of memory
+			return
+		}
+	}
 	if why := c.refusal(j); why != "" {
 		c.refuseProven(j, r, func() string { return why }, nil)
 		return
@@ -193,6 +208,9 @@
 
 func (c *Core) show(id string, r *server.Reply) {
 	if rec := c.view.jobs[id]; rec != nil && rec.over() {
+		if rec.isFinished() {
+			c.finished.Use(id)
+		}
 		r.Send(200, c.status(id, rec), 0) // final, so it cannot be overtaken
 		return
 	}
@@ -200,6 +218,10 @@
 		later(r, "not ready")
 		return
 	}
+	if c.mayBeForgotten(id) {
+		c.showForgotten(id, r)
+		return
+	}
 	c.view.wantSync(func(err error) {
 		rec := c.view.jobs[id]
 		// A process that stands still after this proof must not tell it as if it
@@ -208,6 +230,8 @@
 		switch {
 		case err != nil:
 			later(r, err.Error())
+		case c.mayBeForgotten(id):
+			c.showForgotten(id, r) // meanwhile
 		case rec == nil:
 			r.SendUntil(404, server.ErrorBody("no such job"), 0, until)
 		case rec.over():
@@ -228,11 +252,17 @@
 		return
 	}
 	rec := c.view.jobs[id]
+	if c.mayBeForgotten(id) {
+		c.withdrawForgotten(id, r, tries)
+		return
+	}
 	if rec == nil {
 		c.view.wantSync(func(err error) {
 			switch {
 			case err != nil:
 				later(r, err.Error())
+			case c.mayBeForgotten(id):
+				c.withdrawForgotten(id, r, tries-1) // meanwhile
 			case c.view.jobs[id] == nil:
 				r.Send(404, server.ErrorBody("no such job"), 0)
 			default:
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -173,6 +173,9 @@
 	if r.over() {
 		c.counts.forget(id)
 	}
+	if r.isFinished() {
+		c.finished.Use(id)
+	}
 	c.withdrawals.add(id, r, clock.Now(), clock.Wall())
 	r.cancelledWith = r.State == "" && c.graph.Cancelled(id)
 	c.follow(id, r)
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -17,7 +17,8 @@
 	}
 	c.view.loading = true
 	go func() {
-		items, rev, err := c.store.Load(prefix)
+		filter := newLoadFilter(c.finishedKept)
+		rev, err := c.store.Load(prefix, filter.add)
 		if err != nil {
 			c.log.Debug("state not loaded", "error", err)
 			time.Sleep(300 * time.Millisecond)
@@ -28,12 +29,12 @@
 				c.load()
 				return
 			}
-			c.loaded(items, rev)
+			c.loaded(filter, rev)
 		})
 	}()
 }
 
-func (c *Core) loaded(items []wire.Item, rev uint64) {
+func (c *Core) loaded(filter *loadFilter, rev uint64) {
 	v := &c.view
 	if v.loaded && rev < v.rev {
 		return
@@ -44,11 +45,14 @@
 	v.rentals = map[string]*rentalRecord{}
 	v.lock = election.Lock{}
 	v.leads.Forget()
+	items, dropped := filter.items()
 	for i := range items {
 		c.put(items[i].Key, items[i].Value, items[i].Version)
 	}
 	v.rev = max(v.rev, rev)
 	v.loaded = true
+	c.countForgotten(filter.seen, dropped)
+	c.recallAwaited()
 	c.seenLock()
 	c.log.Info("state loaded", "revision", rev, "jobs", len(v.jobs))
 }
--- a/internal/pipeline/demand.go
+++ b/internal/pipeline/demand.go
@@ -28,6 +28,9 @@
 		demanded := n.urgency.before(n.run)
 		for _, need := range n.needs {
 			needed := g.nodes[need]
+			if needed == nil {
+				continue // done, and forgotten
+			}
 			joined := needed.urgency.Join(demanded)
 			if needed.stage == done || needed.stage == cancelled || joined == needed.urgency {
 				continue
--- a/internal/pipeline/graph.go
+++ b/internal/pipeline/graph.go
@@ -8,6 +8,8 @@
 package pipeline
 
 import (
+	"slices"
+
 	"firwood.dev/firwood/internal/clock"
 )
 
@@ -213,9 +215,30 @@
 	}
 	var awaited []string
 	for _, need := range n.needs {
-		if g.nodes[need].stage != done {
+		// One that was forgotten is done: of a cancelled one this job would know.
+		if n := g.nodes[need]; n != nil && n.stage != done {
 			awaited = append(awaited, need)
 		}
 	}
 	return awaited
 }
+
+// Forget forgets a job that is over, as long as nobody names it anew. Told of its end
+// again, the graph is as before.
+func (g *Graph) Forget(id string) {
+	if n := g.nodes[id]; n != nil && (n.stage == done || n.stage == cancelled) {
+		delete(g.nodes, id)
+	}
+}
+
+// Unknown lists the jobs that others need and of which no record was seen.
+func (g *Graph) Unknown() []string {
+	var ids []string
+	for id, n := range g.nodes {
+		if n.stage == unknown && len(n.dependents) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -54,6 +54,8 @@
 	// WithoutStandby.
 	Standby        bool
 	WithoutStandby []string
+	// FinishedJobs, if set, is how many finished jobs a controller remembers.
+	FinishedJobs int
 	// Log, if set, gets what controllers log.
 	Log *slog.Logger
 }
@@ -251,6 +253,7 @@
 	}
 	tuning := config.DefaultTuning()
 	tuning.Standby.Enabled = c.options.Standby && !slices.Contains(c.options.WithoutStandby, name)
+	tuning.FinishedJobs = c.options.FinishedJobs
 	n.app = core.New(n.cfg, tuning, log.With("member", name), dial)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.end = cancel
--- a/internal/state/reads.go
+++ b/internal/state/reads.go
@@ -11,10 +11,10 @@
 	"firwood.dev/firwood/wire"
 )
 
-// Load reads every key below a prefix. The revision is that of the first
+// Load reads every key below a prefix, and hands over one page after another: all of them
+// may be more than there is memory for. The revision is that of the first
 // page; what changed since then has to be watched from there.
-func (c *Client) Load(prefix string) ([]wire.Item, uint64, error) {
-	var items []wire.Item
+func (c *Client) Load(prefix string, each func(items []wire.Item)) (uint64, error) {
 	var rev uint64
 	after := ""
 	for page := 0; ; page++ {
@@ -25,22 +25,22 @@
 		c.reads.Wait(1)
 		status, body, err := c.do("GET", target, nil, requestTimeout)
 		if err != nil {
-			return nil, 0, err
+			return 0, err
 		}
 		if status != 200 {
-			return nil, 0, fmt.Errorf("%w: status %d", ErrRefused, status)
+			return 0, fmt.Errorf("%w: status %d", ErrRefused, status)
 		}
 		var p wire.Page
 		if err := p.UnmarshalJSON(body); err != nil {
 			c.Dropped.Add(1)
-			return nil, 0, err
+			return 0, err
 		}
 		if page == 0 {
 			rev = p.Revision
 		}
-		items = append(items, p.Items...)
+		each(p.Items)
 		if !p.More || len(p.Items) == 0 {
-			return items, rev, nil
+			return rev, nil
 		}
 		after = p.Items[len(p.Items)-1].Key
 	}
@@ -102,3 +102,34 @@
 	}
 	return it, nil
 }
+
+// Existing tells which of some keys exist, in one request, many times fewer than reading
+// them one by one. None: all of them are known to be absent. Some: of those that are not
+// listed nothing is known. No more than four times the limit of changes may be asked for.
+func (c *Client) Existing(keys []string) ([]string, error) {
+	t := wire.Txn{}
+	for _, key := range keys {
+		t.If = append(t.If, wire.Condition{Key: key})
+	}
+	body, err := t.MarshalJSON()
+	if err != nil {
+		return nil, err
+	}
+	c.reads.Wait(1)
+	status, answer, err := c.do("POST", "/txn", body, requestTimeout)
+	if err != nil {
+		return nil, err
+	}
+	var r wire.TxnResult
+	switch status {
+	case 200:
+		return nil, nil
+	case 409:
+		if err := r.UnmarshalJSON(answer); err != nil || len(r.Failed) == 0 {
+			c.Dropped.Add(1)
+			return nil, fmt.Errorf("%w: a conflict without keys", ErrRefused)
+		}
+		return r.Failed, nil
+	}
+	return nil, fmt.Errorf("%w: status %d", ErrRefused, status)
+}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -109,7 +110,8 @@
 	if err := c.Renew(lease, clock.Second); !errors.Is(err, ErrGone) {
 		t.Fatalf("renewal of an ended lease: %v", err)
 	}
-	items, rev, err := c.Load("a/")
+	var items []wire.Item
+	rev, err := c.Load("a/", func(page []wire.Item) { items = append(items, page...) })
 	if err != nil || len(items) != 0 || rev <= o[0].rev {
 		t.Fatalf("%v %d %v", items, rev, err)
 	}
@@ -202,7 +204,8 @@
 	if _, err := c.Watch("a/", 0, 0); !errors.Is(err, ErrCompacted) {
 		t.Fatalf("the watch ends with %v", err)
 	}
-	items, revision, err := c.Load("a/")
+	var items []wire.Item
+	revision, err := c.Load("a/", func(page []wire.Item) { items = append(items, page...) })
 	if err != nil || len(items) != 50 || revision == 0 {
 		t.Errorf("%d keys are read, %v", len(items), err)
 	}
@@ -250,3 +253,20 @@
 		t.Errorf("%d and %d changes are left", binding, waited)
 	}
 }
+
+// One request tells which of many keys exist, as far as any does, and that none does.
+func TestExisting(t *testing.T) {
+	c, s := open(t)
+	commit(t, c, &Write{Then: put("a/1", "1")})
+	commit(t, c, &Write{Then: put("a/2", "1")})
+	for _, want := range [][]string{nil, {"a/1"}, {"a/1", "a/2"}} {
+		got, err := c.Existing(append([]string{"a/3", "a/4"}, want...))
+		if err != nil || !slices.Equal(got, want) {
+			t.Errorf("%v, %v; want %v", got, err, want)
+		}
+	}
+	s.SetDown(true)
+	if got, err := c.Existing([]string{"a/3"}); err == nil {
+		t.Errorf("in an outage: %v", got)
+	}
+}
