An archive of finished jobs, which is not read when a controller starts; off by default

Look-ups ask both places at once, a submission asks for its absence from both. Without the setting the leader moves them back, which is the way back to versions that know no archive.

Measured: in simulated time 300 jobs are archived and moved back while leaders end, answers are lost, writes come late and again: every controller knows every job all the while.

--- a/cmd/firwood/main_test.go
+++ b/cmd/firwood/main_test.go
@@ -111,7 +111,7 @@
 		code                   int
 		lines                  []string
 	}{
-		{"good", platform, "fleet_machines: 1500\n", 0, nil},
+		{"good", platform, "fleet_machines: 1500\nfinished_jobs: 100\narchive_finished_after_s: 600\n", 0, nil},
 		{"two fields in each", broken, "alpha: -1\nbeta: -1\n", 2, []string{"deployment.state.rps: ", "deployment.state.txn_ops: ", "alpha: ", "beta: "}},
 		{"at odds with each other", platform, "leader_ttl_s: 40\n", 2, []string{"leader_ttl_s: "}},
 		{"too many machines", platform, "fleet_machines: 4000\n", 2, []string{"deployment.limits.max_sockets: 3500, and a fleet of 4000 machines needs 4731 (1231 more)", "deployment.limits.cores: "}},
--- a/internal/config/capacity_test.go
+++ b/internal/config/capacity_test.go
@@ -65,7 +65,7 @@
 			t.Errorf("line %d is %q", i, lines[i])
 		}
 	}
-	if _, err := ParseTuning([]byte("alpha: -1\nbeta: -2\nfleet_machines: -3\n")); err == nil || len(strings.Split(err.Error(), "\n")) != 3 {
+	if _, err := ParseTuning([]byte("alpha: -1\nbeta: -2\nfleet_machines: -3\nfinished_jobs: 99\narchive_finished_after_s: 599\n")); err == nil || len(strings.Split(err.Error(), "\n")) != 5 {
 		t.Errorf("the operators' file: %v", err)
 	}
 	p, err := ParsePlatform([]byte(platform))
--- a/internal/config/tuning.go
+++ b/internal/config/tuning.go
@@ -57,6 +57,9 @@
 	// How many finished jobs a controller remembers, beside which it asks the state
 	// service; 0 derives it from its memory.
 	FinishedJobs int `yaml:"finished_jobs"`
+	// After how many seconds finished jobs are moved to the archive, which is not read when
+	// a controller starts; 0: there is none, and what is there is moved back.
+	ArchiveFinishedAfterS float64 `yaml:"archive_finished_after_s"`
 	// Whether, and how, followers keep a copy of the leader's account.
 	Standby Standby `yaml:"standby"`
 }
@@ -69,6 +72,10 @@
 	Trace string `yaml:"trace"`
 }
 
+// leastArchiveAfterS is how old a finished job has to be to be archived: later than any
+// late message about it.
+const leastArchiveAfterS = 600
+
 // leastFinishedJobs is how many finished jobs a controller has to remember, if it is said:
 // users ask for a job until they are told of its end.
 const leastFinishedJobs = 100
@@ -143,6 +150,7 @@
 		{notNegative(t.GangWeight), "gang_weight", "is below 0"},
 		{t.FleetMachines >= 0, "fleet_machines", "is below 0"},
 		{t.FinishedJobs == 0 || t.FinishedJobs >= leastFinishedJobs, "finished_jobs", "is not 0 or at least 100"},
+		{t.ArchiveFinishedAfterS == 0 || t.ArchiveFinishedAfterS >= leastArchiveAfterS && t.ArchiveFinishedAfterS <= 1e9, "archive_finished_after_s", "is not 0 or at least 600"},
 		{t.Standby.Trace == "" || t.Standby.Trace == "stderr" || filepath.IsAbs(t.Standby.Trace), "standby.trace", "is not \"stderr\" or the full path of a file"},
 		{t.Standby.Trace == "" || t.Standby.Enabled, "standby.trace", "is set while standby.enabled is not"},
 	}
--- a/internal/core/cleanup.go
+++ b/internal/core/cleanup.go
@@ -107,7 +107,7 @@
 	if len(keys) == 0 {
 		return
 	}
-	w := &state.Write{Rank: state.Spare, If: []wire.Condition{{Key: prefixJob + id, Version: r.version}}}
+	w := &state.Write{Rank: state.Spare, If: []wire.Condition{{Key: r.key(id), Version: r.version}}}
 	for _, key := range keys[:min(len(keys), l.c.cfg.Deployment.State.Effective().TxnOps)] {
 		w.Then = append(w.Then, wire.Change{Delete: key})
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -138,7 +138,7 @@
 	}
 	c.finishedKept = finishedKept(tuning.FinishedJobs, d.Limits.RAMMB)
 	c.finished = finished.NewMemory(c.finishedKept)
-	c.lookups = finished.NewLookups(mostLookups, min(4*d.State.Effective().TxnOps, mostAsked))
+	c.lookups = finished.NewLookups(mostLookups, min(4*d.State.Effective().TxnOps/keysOfJob, mostAsked))
 	c.toWorkers = client.NewPool(dial, c.sockets)
 	c.chunk = chunkOf(d.State.ValueKB)
 	w := &d.Workers
--- a/internal/core/forgetting.go
+++ b/internal/core/forgetting.go
@@ -43,11 +43,12 @@
 
 type forgottenCounts struct{ done, aborted int }
 
+// add counts so many more; what was in the archive at the start is not counted at all.
 func (f *forgottenCounts) add(state string, n int) {
 	if state == wire.JobDone {
-		f.done += n
+		f.done = max(f.done+n, 0)
 	} else {
-		f.aborted += n
+		f.aborted = max(f.aborted+n, 0)
 	}
 }
 
@@ -55,8 +56,7 @@
 func (c *Core) forgetFinished() {
 	for _, id := range c.finished.Forget(forgottenAtOnce, c.mayForget) {
 		rec := c.view.jobs[id]
-		c.forgotten.any = true
-		c.forgotten.times++
+		c.mayForgetFrom()
 		c.forgotten.counts.add(rec.State, 1)
 		if t, ok := c.trouble(id, rec, int64(clock.Wall())); ok {
 			c.forgotten.troubles = worst(append(c.forgotten.troubles, t))
@@ -75,19 +75,28 @@
 	return c.lead == nil || c.lead.lg.Jobs[id] == nil && c.lead.jobs[id] == nil
 }
 
+// mayForgetFrom notes that from now on a job that is not in the view may be known to the
+// state service.
+func (c *Core) mayForgetFrom() {
+	c.forgotten.any = true
+	c.forgotten.times++
+}
+
 // mayBeForgotten tells whether a job is not in the view, and may have been forgotten.
 func (c *Core) mayBeForgotten(id string) bool { return c.view.jobs[id] == nil && c.forgotten.any }
 
 // countForgotten counts what is forgotten after all records were read, of which so many
 // were finished.
 func (c *Core) countForgotten(read forgottenCounts, dropped int) {
-	c.forgotten.any = c.forgotten.any || dropped > 0
+	if dropped > 0 {
+		c.mayForgetFrom()
+	}
 	for _, rec := range c.view.jobs {
 		if rec.isFinished() {
 			read.add(rec.State, -1)
 		}
 	}
-	c.forgotten.counts = forgottenCounts{done: max(read.done, 0), aborted: max(read.aborted, 0)}
+	c.forgotten.counts = read
 }
 
 // loadFilter takes what is read from the state service page by page. Of finished jobs it
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -85,6 +85,7 @@
 	standby *stream
 
 	cleanup   cleanup
+	archiver  archiver
 	saving    int // progress writes under way
 	directing int // direct messages under way
 	probing   int // probes under way
@@ -292,6 +293,7 @@
 	l.direct(now)
 	l.sendDeletes(now)
 	l.cleanUp(now)
+	l.archive(now)
 }
 
 // after runs f on the owner later, unless the lead is over by then.
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strings"
 
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/finished"
@@ -15,6 +16,8 @@
 	// mostLookups bounds the questions for forgotten jobs that wait, mostAsked the jobs
 	// that one request asks for, mostRead those that are read after it.
 	mostLookups, mostAsked, mostRead = 1024, 96, 8
+	// keysOfJob is in how many places a job's record may lie.
+	keysOfJob = 2
 	// recallAgain is after how long a job that others await is asked for again.
 	recallAgain = clock.Second
 )
@@ -43,8 +46,7 @@
 		c.post(func() {
 			var present []string
 			for _, item := range read {
-				c.recalled(item)
-				present = append(present, item.Key[len(prefixJob):])
+				present = append(present, c.recalled(item))
 			}
 			c.lookups.Answered(present, areOthersAbsent, err != nil)
 			c.lookUp(clock.Now())
@@ -57,7 +59,7 @@
 func (c *Core) readJobs(jobs []string) (read []wire.Item, areOthersAbsent bool, err error) {
 	var keys []string
 	for _, id := range jobs {
-		keys = append(keys, prefixJob+id)
+		keys = append(keys, prefixJob+id, prefixArchive+id)
 	}
 	existing, err := c.store.Existing(keys)
 	if err != nil || len(existing) == 0 {
@@ -69,7 +71,7 @@
 		}
 		item, err := c.store.Get(key)
 		if errors.Is(err, state.ErrGone) {
-			continue
+			continue // it was moved meanwhile, and is asked for again
 		}
 		if err != nil {
 			return read, false, err
@@ -79,15 +81,22 @@
 	return read, false, nil
 }
 
-// recalled takes the record of a job that was looked up into the view.
-func (c *Core) recalled(item wire.Item) {
-	id := item.Key[len(prefixJob):]
+// recalled takes the record of a job that was looked up into the view, and tells the job.
+func (c *Core) recalled(item wire.Item) string {
+	id, isArchived := strings.CutPrefix(item.Key, prefixArchive)
+	if !isArchived {
+		id = strings.TrimPrefix(item.Key, prefixJob)
+	}
 	isNew := c.view.jobs[id] == nil
-	c.put(item.Key, item.Value, item.Version)
-	if r := c.view.jobs[id]; isNew && r != nil && r.isFinished() {
-		c.forgotten.counts.add(r.State, -1)
-		c.forgotten.troubles = slices.DeleteFunc(c.forgotten.troubles, func(t Trouble) bool { return t.Job == id })
+	c.put(prefixJob+id, item.Value, item.Version)
+	r := c.view.jobs[id]
+	if !isNew || r == nil || !r.isFinished() {
+		return id
 	}
+	r.isArchived = isArchived
+	c.forgotten.counts.add(r.State, -1)
+	c.forgotten.troubles = slices.DeleteFunc(c.forgotten.troubles, func(t Trouble) bool { return t.Job == id })
+	return id
 }
 
 // showForgotten answers a question for a job that is not in the view.
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -20,13 +20,18 @@
 	keyPromises = prefix + "word"
 	keyToken    = prefix + "token"
 	keyStandby  = prefix + "standby"
-	prefixJob   = prefix + "job/"
-	prefixDone  = prefix + "done/"
+	// keyArchive exists while there may be an archive.
+	keyArchive = prefix + "archive"
+	prefixJob  = prefix + "job/"
+	prefixDone = prefix + "done/"
 	// prefixAwaits is followed by a job and a number.
 	prefixAwaits = prefix + "needs/"
 	prefixRental = prefix + "hire/"
 	// prefixAsked is followed by a member.
 	prefixAsked = prefix + "asked/"
+	// prefixArchive is followed by a finished job. It is not below the common prefix, so
+	// it is neither loaded nor watched.
+	prefixArchive = "firwood.finished/"
 )
 
 // lockRecord is the value of the lock key.
@@ -64,6 +69,8 @@
 	Released int64 `json:"w,omitempty"`
 
 	version uint64
+	// isArchived: the record lies in the archive.
+	isArchived bool
 	// cancelledWith: a job that this one needs is durably cancelled, so this one is
 	// too, whether or not its own record says so yet.
 	cancelledWith bool
@@ -73,6 +80,14 @@
 // that it needs.
 func (r *jobRecord) over() bool { return r.State != "" || r.cancelledWith }
 
+// key is where the job's record lies.
+func (r *jobRecord) key(id string) string {
+	if r.isArchived {
+		return prefixArchive + id
+	}
+	return prefixJob + id
+}
+
 // isFinished tells whether the job is over by its own record, and no task of it may be
 // anywhere: the record is its last one.
 func (r *jobRecord) isFinished() bool { return r.State != "" && r.Job == nil }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -124,7 +124,7 @@
 	}
 	c.submitting[j.ID] = []*server.Reply{r}
 	w := &state.Write{
-		If:       []wire.Condition{{Key: prefixJob + j.ID}},
+		If:       []wire.Condition{{Key: prefixJob + j.ID}, {Key: prefixArchive + j.ID}},
 		Then:     changes,
 		Deadline: clock.Now() + submitWait,
 	}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -30,6 +30,8 @@
 	// standby is the record of those in step with a leader, with its version.
 	standby        standby.Record
 	standbyVersion uint64
+	// hasArchive: there may be finished jobs in the archive.
+	hasArchive bool
 	// leads are those that were seen since all keys were last read.
 	leads standby.Leads
 
@@ -126,6 +128,9 @@
 		c.seenPromises(r.Word, version)
 	case key == keyStandby:
 		c.seenStandby(value, version)
+	case key == keyArchive:
+		v.hasArchive = true
+		c.mayForgetFrom()
 	case strings.HasPrefix(key, prefixAsked):
 		var r askedRecord
 		if err := r.UnmarshalJSON(value); err != nil {
@@ -218,6 +223,12 @@
 	switch {
 	case key == keyLock:
 		v.lock = election.Lock{}
+	case key == keyArchive:
+		v.hasArchive = false
+	case strings.HasPrefix(key, prefixJob):
+		if r := v.jobs[key[len(prefixJob):]]; r != nil {
+			r.isArchived = true // records are deleted for that alone
+		}
 	case strings.HasPrefix(key, prefixDone):
 		c.dropProgress(key)
 	case strings.HasPrefix(key, prefixAwaits):
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -45,6 +45,7 @@
 	v.rentals = map[string]*rentalRecord{}
 	v.lock = election.Lock{}
 	v.leads.Forget()
+	v.hasArchive = false
 	items, dropped := filter.items()
 	for i := range items {
 		c.put(items[i].Key, items[i].Value, items[i].Version)
--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -56,6 +56,10 @@
 	WithoutStandby []string
 	// FinishedJobs, if set, is how many finished jobs a controller remembers.
 	FinishedJobs int
+	// ArchiveAfter, if set, is after how long finished jobs are archived; WithoutArchive are
+	// controllers that move them back when they lead.
+	ArchiveAfter   time.Duration
+	WithoutArchive []string
 	// Log, if set, gets what controllers log.
 	Log *slog.Logger
 }
@@ -254,6 +258,9 @@
 	tuning := config.DefaultTuning()
 	tuning.Standby.Enabled = c.options.Standby && !slices.Contains(c.options.WithoutStandby, name)
 	tuning.FinishedJobs = c.options.FinishedJobs
+	if !slices.Contains(c.options.WithoutArchive, name) {
+		tuning.ArchiveFinishedAfterS = c.options.ArchiveAfter.Seconds()
+	}
 	n.app = core.New(n.cfg, tuning, log.With("member", name), dial)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.end = cancel
--- a/internal/sim/finished_test.go
+++ b/internal/sim/finished_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"firwood.dev/firwood/internal/standin"
 	"firwood.dev/firwood/wire"
 )
 
@@ -188,3 +191,100 @@
 		c.UntilStage("n0", jobID(1), wire.JobDone, 10*time.Second)
 	})
 }
+
+const (
+	archiveAfter = 20 * time.Second
+	archivedKeys = "firwood.finished/"
+	jobKeys      = "firwood/job/"
+)
+
+// untilMoved waits until so many records lie in the archive, and the others where they were.
+func (c *Cluster) untilMoved(archived int) {
+	c.t.Helper()
+	c.Until(fmt.Sprintf("%d records are archived", archived), 10*time.Minute, func() bool {
+		return len(c.State.Keys(archivedKeys)) == archived && len(c.State.Keys(jobKeys)) == finishedJobs-archived
+	})
+}
+
+// Finished jobs are moved to the archive, and back when that is turned off, while leaders
+// end, the state service is down, loses answers and carries writes out late, and old writes
+// come again. All the while every controller knows every job, also one that has just begun.
+func TestFinishedJobsAreArchived(t *testing.T) {
+	options := forgetful()
+	options.ArchiveAfter = archiveAfter
+	Run(t, options, func(c *Cluster) {
+		c.finishMany()
+		submissions := c.State.Transactions()
+		c.disturbMoves()
+		c.untilMoved(finishedJobs)
+		for _, old := range submissions {
+			c.State.Repeat(old)
+		}
+		if left := c.State.Keys(jobKeys); len(left) > 0 {
+			t.Errorf("old writes brought back %d records", len(left))
+		}
+		c.askForAll()
+		c.beginAnew()
+		c.askForAll()
+		c.awaitArchived()
+
+		c.options.WithoutArchive = c.Nodes()
+		c.beginAnew()
+		c.disturbMoves()
+		c.Until("all records are back", 10*time.Minute, func() bool {
+			return len(c.State.Keys(archivedKeys)) == 0 && len(c.State.Keys("firwood/archive")) == 0
+		})
+		for _, old := range c.State.Transactions() {
+			if slices.ContainsFunc(old.Then, func(change wire.Change) bool { return strings.HasPrefix(change.Put, archivedKeys) }) {
+				c.State.Repeat(old)
+			}
+		}
+		if left := c.State.Keys(archivedKeys); len(left) > 0 {
+			t.Errorf("old moves archived %d records again", len(left))
+		}
+		c.askForAll()
+	})
+}
+
+// disturbMoves has one trouble after another while records are moved.
+func (c *Cluster) disturbMoves() {
+	time.Sleep(archiveAfter)
+	for _, fault := range []standin.StateFault{standin.AnswersLost, standin.CarriedOutLate, standin.Refused} {
+		if leader := c.Leader(); leader != "" {
+			c.State.SetFault(leader, fault)
+			time.Sleep(2 * time.Second)
+			c.askForManyAtOnce(c.Others(leader)[0])
+			c.State.SetFault(leader, standin.Served)
+			c.Restart(leader, 300*time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+	}
+	c.State.SetDown(true)
+	time.Sleep(3 * time.Second)
+	c.State.SetDown(false)
+	time.Sleep(3 * time.Second)
+}
+
+// beginAnew has every controller begin anew.
+func (c *Cluster) beginAnew() {
+	for _, name := range c.Nodes() {
+		c.Restart(name, time.Second)
+	}
+	c.Until("somebody leads", time.Minute, func() bool { return c.Leader() != "" })
+	time.Sleep(5 * time.Second)
+}
+
+// awaitArchived has a job await one that lies in the archive.
+func (c *Cluster) awaitArchived() {
+	job := Array(600001, 1, "a")
+	for i := range finishedJobs {
+		if c.Poll("n1", jobID(i)).Stage() == wire.JobDone {
+			job.Awaits = []string{jobID(i)}
+			break
+		}
+	}
+	c.MustSubmit("n2", job)
+	for _, name := range c.Nodes() {
+		c.UntilStage(name, job.ID, wire.JobDone, 30*time.Second)
+	}
+}
--- a/internal/state/reads.go
+++ b/internal/state/reads.go
@@ -11,39 +11,52 @@
 	"firwood.dev/firwood/wire"
 )
 
+// mostKeys is how many keys one answer holds at most.
+const mostKeys = 1000
+
 // Load reads every key below a prefix, and hands over one page after another: all of them
 // may be more than there is memory for. The revision is that of the first
 // page; what changed since then has to be watched from there.
 func (c *Client) Load(prefix string, each func(items []wire.Item)) (uint64, error) {
-	var rev uint64
+	var revision uint64
 	after := ""
-	for page := 0; ; page++ {
-		target := "/kv?under=" + url.QueryEscape(prefix) + "&limit=1000"
-		if after != "" {
-			target += "&since=" + url.QueryEscape(after)
-		}
-		c.reads.Wait(1)
-		status, body, err := c.do("GET", target, nil, requestTimeout)
+	for {
+		page, err := c.Page(prefix, after, mostKeys)
 		if err != nil {
 			return 0, err
 		}
-		if status != 200 {
-			return 0, fmt.Errorf("%w: status %d", ErrRefused, status)
-		}
-		var p wire.Page
-		if err := p.UnmarshalJSON(body); err != nil {
-			c.Dropped.Add(1)
-			return 0, err
-		}
-		if page == 0 {
-			rev = p.Revision
+		if after == "" {
+			revision = page.Revision
 		}
-		each(p.Items)
-		if !p.More || len(p.Items) == 0 {
-			return rev, nil
+		each(page.Items)
+		if !page.More {
+			return revision, nil
 		}
-		after = p.Items[len(p.Items)-1].Key
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// Page reads so many keys below a prefix at most, after a key if that is not empty.
+func (c *Client) Page(prefix, after string, limit int) (*wire.Page, error) {
+	target := "/kv?under=" + url.QueryEscape(prefix) + "&limit=" + strconv.Itoa(limit)
+	if after != "" {
+		target += "&since=" + url.QueryEscape(after)
+	}
+	c.reads.Wait(1)
+	status, body, err := c.do("GET", target, nil, requestTimeout)
+	if err != nil {
+		return nil, err
+	}
+	if status != 200 {
+		return nil, fmt.Errorf("%w: status %d", ErrRefused, status)
+	}
+	page := &wire.Page{}
+	if err := page.UnmarshalJSON(body); err != nil {
+		c.Dropped.Add(1)
+		return nil, err
 	}
+	page.More = page.More && len(page.Items) > 0
+	return page, nil
 }
 
 // Watch returns every change below the prefix after `since`; block 0 answers
