--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -120,14 +120,11 @@
 // withdrawForgotten takes a withdrawal of a job that is not in the view.
 func (c *Core) withdrawForgotten(id string, r *server.Reply, tries int) {
 	c.recall(id, clock.Now()+userWait, func(answer finished.Answer) {
-		switch {
-		case answer == finished.NoAnswer:
+		if answer == finished.NoAnswer {
 			later(r, "the state service does not answer")
-		case c.view.jobs[id] == nil:
-			r.Send(404, server.ErrorBody("no such job"), 0)
-		default:
-			c.withdraw(id, r, tries-1)
+			return
 		}
+		c.withdrawKnown(id, r, tries-1)
 	})
 }
 
--- a/internal/core/promises.go
+++ b/internal/core/promises.go
@@ -11,7 +11,7 @@
 	"firwood.dev/firwood/wire"
 )
 
-// What a leader leaves word of: zones that are silent, members that are not
+// What a leader promises to those after it: zones that are silent, members that are not
 // heard. See delegation.Promises.
 
 func (c *Core) seenPromises(w delegation.Promises, version uint64) {
@@ -125,7 +125,7 @@
 }
 
 func (l *lead) writePromises(w delegation.Promises) {
-	v, err := promisesRecord{Word: w}.MarshalJSON()
+	v, err := promisesRecord{Promises: w}.MarshalJSON()
 	if err != nil || len(v) > int(l.c.cfg.Deployment.State.Effective().ValueKB*1024) {
 		l.c.dropped("what is to be promised is too large for the state service", "bytes", len(v))
 		return
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -119,9 +119,9 @@
 	version uint64
 }
 
-// promisesRecord is the value of the key for what a leader leaves word of.
+// promisesRecord is the value of the key for what a leader promises to those after it.
 type promisesRecord struct {
-	Word delegation.Promises `json:"w"`
+	Promises delegation.Promises `json:"w"`
 }
 
 // askedRecord is how many workers ask a member.
--- a/internal/core/records_easyjson.go
+++ b/internal/core/records_easyjson.go
@@ -196,7 +196,7 @@
 		in.WantColon()
 		switch key {
 		case "w":
-			easyjsonAf922c28DecodeFirwoodDevFirwoodInternalDelegation(in, &out.Word)
+			easyjsonAf922c28DecodeFirwoodDevFirwoodInternalDelegation(in, &out.Promises)
 		default:
 			in.SkipRecursive()
 		}
@@ -214,7 +214,7 @@
 	{
 		const prefix string = ",\"w\":"
 		out.RawString(prefix[1:])
-		easyjsonAf922c28EncodeFirwoodDevFirwoodInternalDelegation(out, in.Word)
+		easyjsonAf922c28EncodeFirwoodDevFirwoodInternalDelegation(out, in.Promises)
 	}
 	out.RawByte('}')
 }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -263,10 +263,8 @@
 				later(r, err.Error())
 			case c.mayBeForgotten(id):
 				c.withdrawForgotten(id, r, tries-1) // meanwhile
-			case c.view.jobs[id] == nil:
-				r.Send(404, server.ErrorBody("no such job"), 0)
 			default:
-				c.withdraw(id, r, tries-1)
+				c.withdrawKnown(id, r, tries-1)
 			}
 		}, clock.Now()+userWait)
 		return
@@ -313,6 +311,15 @@
 	}
 }
 
+// withdrawKnown takes a withdrawal of a job that the view has, if there is such a job at all.
+func (c *Core) withdrawKnown(id string, r *server.Reply, tries int) {
+	if c.view.jobs[id] == nil {
+		r.Send(404, server.ErrorBody("no such job"), 0)
+		return
+	}
+	c.withdraw(id, r, tries)
+}
+
 // Up implements server.App; it is called on the event loop and reads only
 // what is safe to read there.
 func (c *Core) Up() bool { return !c.unfit.Load() }
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -125,7 +125,7 @@
 			c.malformed(key, err)
 			return
 		}
-		c.seenPromises(r.Word, version)
+		c.seenPromises(r.Promises, version)
 	case key == keyStandby:
 		c.seenStandby(value, version)
 	case key == keyArchive:
--- a/internal/e2e/pause_test.go
+++ b/internal/e2e/pause_test.go
@@ -33,11 +33,7 @@
 	until(t, "both others stand by", d.inStep)
 	var ids []string
 	for i := range *leaderPauses {
-		leader := d.leader()
-		for leader == nil {
-			time.Sleep(50 * time.Millisecond)
-			leader = d.leader()
-		}
+		leader := d.someLeader(t)
 		for range 4 {
 			id := fmt.Sprintf("req-%06d", len(ids))
 			ids = append(ids, id)
@@ -46,10 +42,7 @@
 		// At another point of the plans and messages that follow each time.
 		time.Sleep(time.Duration(i) * 7 * time.Millisecond)
 		leader.signal(t, syscall.SIGSTOP)
-		until(t, "another leads", func() bool {
-			now := d.leaderBut(leader)
-			return now != nil
-		})
+		until(t, "another leads", func() bool { return d.leaderBut(leader) != nil })
 		time.Sleep(time.Second)
 		leader.signal(t, syscall.SIGCONT)
 		until(t, "both others stand by", d.inStep)
--- a/internal/e2e/standby_test.go
+++ b/internal/e2e/standby_test.go
@@ -44,6 +44,16 @@
 // leader is the controller that leads, by its own word; nil if there is none.
 func (d *deployment) leader() *node { return d.leaderBut(nil) }
 
+// someLeader waits until some controller leads.
+func (d *deployment) someLeader(t *testing.T) (leader *node) {
+	t.Helper()
+	until(t, "some controller leads", func() bool {
+		leader = d.leader()
+		return leader != nil
+	})
+	return leader
+}
+
 // leaderBut is the same of all controllers but one, which would not answer.
 func (d *deployment) leaderBut(stopped *node) *node {
 	for _, name := range d.names {
@@ -77,11 +87,7 @@
 	var took []time.Duration
 	used := 0
 	for range *leaderKills {
-		leader := d.leader()
-		for leader == nil {
-			time.Sleep(50 * time.Millisecond)
-			leader = d.leader()
-		}
+		leader := d.someLeader(t)
 		others := slices.DeleteFunc(slices.Clone(d.names), func(name string) bool { return name == leader.name })
 		first, second, called := next(), next(), next()
 		submit(d.nodes[others[0]], first, wire.KindArray, 6)
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -63,85 +63,71 @@
 	return err
 }
 
-func decodeCounts(r *fb.Beat) ([]Count, error) {
-	if r.CountsLength() > MaxCounts {
+// readTables reads a vector of tables of a length, up to a bound; read tells whether there
+// is one at an index that makes sense.
+func readTables[T any](length, most int, read func(i int) (T, bool)) ([]T, error) {
+	if length > most {
 		return nil, errMalformed
 	}
-	var counts []Count
-	var c fb.Count
-	for i := range r.CountsLength() {
-		if !r.Counts(&c, i) {
+	var items []T
+	for i := range length {
+		item, ok := read(i)
+		if !ok {
 			return nil, errMalformed
 		}
-		counts = append(counts, Count{Job: string(c.Job()), Done: c.Done(), Running: c.Running()})
+		items = append(items, item)
 	}
-	return counts, nil
+	return items, nil
+}
+
+func decodeCounts(r *fb.Beat) ([]Count, error) {
+	var c fb.Count
+	return readTables(r.CountsLength(), MaxCounts, func(i int) (Count, bool) {
+		ok := r.Counts(&c, i)
+		return Count{Job: string(c.Job()), Done: c.Done(), Running: c.Running()}, ok
+	})
 }
 
 func decodeHoldings(r *fb.Beat) ([]Holding, error) {
-	if r.HoldingsLength() > MaxHoldings {
-		return nil, errMalformed
-	}
-	var holdings []Holding
 	var h fb.Holding
-	for i := range r.HoldingsLength() {
+	return readTables(r.HoldingsLength(), MaxHoldings, func(i int) (Holding, bool) {
 		if !r.Holdings(&h, i) || h.ImagesLength() > MaxImages {
-			return nil, errMalformed
+			return Holding{}, false
 		}
 		holding := Holding{Machine: string(h.Machine()), Session: h.Session()}
 		for k := range h.ImagesLength() {
 			holding.Images = append(holding.Images, string(h.Images(k)))
 		}
-		holdings = append(holdings, holding)
-	}
-	return holdings, nil
+		return holding, true
+	})
 }
 
 func decodeRunTimes(r *fb.Beat) ([]RunTimes, error) {
-	if r.RunTimesLength() > MaxRunTimes {
-		return nil, errMalformed
-	}
-	var times []RunTimes
 	var t fb.RunTimes
-	for i := range r.RunTimesLength() {
-		if !r.RunTimes(&t, i) {
-			return nil, errMalformed
-		}
-		times = append(times, RunTimes{Class: string(t.Class()), Count: t.Count(), Mean: t.Mean(), Square: t.Square()})
-	}
-	return times, nil
+	return readTables(r.RunTimesLength(), MaxRunTimes, func(i int) (RunTimes, bool) {
+		ok := r.RunTimes(&t, i)
+		return RunTimes{Class: string(t.Class()), Count: t.Count(), Mean: t.Mean(), Square: t.Square()}, ok
+	})
 }
 
 func decodeBootTimes(r *fb.Beat) ([]BootTimes, error) {
-	if r.BootTimesLength() > MaxBootTypes {
-		return nil, errMalformed
-	}
-	var times []BootTimes
 	var t fb.BootTimes
-	for i := range r.BootTimesLength() {
+	return readTables(r.BootTimesLength(), MaxBootTypes, func(i int) (BootTimes, bool) {
 		if !r.BootTimes(&t, i) || t.BootsLength() > MaxBoots {
-			return nil, errMalformed
+			return BootTimes{}, false
 		}
 		boots := BootTimes{Type: string(t.Type())}
 		for k := range t.BootsLength() {
 			boots.Boots = append(boots.Boots, clock.Micros(t.Boots(k)))
 		}
-		times = append(times, boots)
-	}
-	return times, nil
+		return boots, true
+	})
 }
 
 func decodeWithdrawals(r *fb.Beat) ([]Withdrawal, error) {
-	if r.WithdrawalsLength() > MaxWithdrawals {
-		return nil, errMalformed
-	}
-	var withdrawals []Withdrawal
 	var w fb.Withdrawal
-	for i := range r.WithdrawalsLength() {
-		if !r.Withdrawals(&w, i) {
-			return nil, errMalformed
-		}
-		withdrawals = append(withdrawals, Withdrawal{Job: string(w.Job()), Revision: w.Revision(), At: clock.Micros(w.At())})
-	}
-	return withdrawals, nil
+	return readTables(r.WithdrawalsLength(), MaxWithdrawals, func(i int) (Withdrawal, bool) {
+		ok := r.Withdrawals(&w, i)
+		return Withdrawal{Job: string(w.Job()), Revision: w.Revision(), At: clock.Micros(w.At())}, ok
+	})
 }
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -58,17 +58,24 @@
 	return fbb.FinishedBytes()
 }
 
-func encodeCounts(fbb *flatbuffers.Builder, counts []Count) flatbuffers.UOffsetT {
+// tables writes a vector of tables, one for each item, up to a bound.
+func tables[T any](fbb *flatbuffers.Builder, items []T, most int, encode func(T) flatbuffers.UOffsetT) flatbuffers.UOffsetT {
 	var offsets []flatbuffers.UOffsetT
-	for _, c := range counts[:min(len(counts), MaxCounts)] {
+	for _, item := range items[:min(len(items), most)] {
+		offsets = append(offsets, encode(item))
+	}
+	return vector(fbb, offsets)
+}
+
+func encodeCounts(fbb *flatbuffers.Builder, counts []Count) flatbuffers.UOffsetT {
+	return tables(fbb, counts, MaxCounts, func(c Count) flatbuffers.UOffsetT {
 		id := fbb.CreateString(c.Job)
 		fb.CountStart(fbb)
 		fb.CountAddJob(fbb, id)
 		fb.CountAddDone(fbb, c.Done)
 		fb.CountAddRunning(fbb, c.Running)
-		offsets = append(offsets, fb.CountEnd(fbb))
-	}
-	return vector(fbb, offsets)
+		return fb.CountEnd(fbb)
+	})
 }
 
 // encodeBootTimes writes nothing at all where there are none: versions that know no boot
@@ -77,8 +84,7 @@
 	if len(times) == 0 {
 		return 0
 	}
-	var offsets []flatbuffers.UOffsetT
-	for _, t := range times[:min(len(times), MaxBootTypes)] {
+	return tables(fbb, times, MaxBootTypes, func(t BootTimes) flatbuffers.UOffsetT {
 		boots := t.Boots[:min(len(t.Boots), MaxBoots)]
 		fb.BootTimesStartBootsVector(fbb, len(boots))
 		for _, boot := range slices.Backward(boots) {
@@ -89,9 +95,8 @@
 		fb.BootTimesStart(fbb)
 		fb.BootTimesAddType(fbb, name)
 		fb.BootTimesAddBoots(fbb, vec)
-		offsets = append(offsets, fb.BootTimesEnd(fbb))
-	}
-	return vector(fbb, offsets)
+		return fb.BootTimesEnd(fbb)
+	})
 }
 
 // vector writes offsets; all vectors of them are alike.
@@ -103,46 +108,40 @@
 	return fbb.EndVector(len(offs))
 }
 
-func encodeHoldings(fbb *flatbuffers.Builder, hs []Holding) flatbuffers.UOffsetT {
-	var offs []flatbuffers.UOffsetT
-	for _, h := range hs[:min(len(hs), MaxHoldings)] {
+func encodeHoldings(fbb *flatbuffers.Builder, holdings []Holding) flatbuffers.UOffsetT {
+	return tables(fbb, holdings, MaxHoldings, func(h Holding) flatbuffers.UOffsetT {
 		var images []flatbuffers.UOffsetT
-		for _, i := range h.Images[:min(len(h.Images), MaxImages)] {
-			images = append(images, fbb.CreateString(i))
+		for _, image := range h.Images[:min(len(h.Images), MaxImages)] {
+			images = append(images, fbb.CreateString(image))
 		}
 		vec, machine := vector(fbb, images), fbb.CreateString(h.Machine)
 		fb.HoldingStart(fbb)
 		fb.HoldingAddMachine(fbb, machine)
 		fb.HoldingAddSession(fbb, h.Session)
 		fb.HoldingAddImages(fbb, vec)
-		offs = append(offs, fb.HoldingEnd(fbb))
-	}
-	return vector(fbb, offs)
+		return fb.HoldingEnd(fbb)
+	})
 }
 
-func encodeRunTimes(fbb *flatbuffers.Builder, rs []RunTimes) flatbuffers.UOffsetT {
-	var offs []flatbuffers.UOffsetT
-	for _, r := range rs[:min(len(rs), MaxRunTimes)] {
+func encodeRunTimes(fbb *flatbuffers.Builder, times []RunTimes) flatbuffers.UOffsetT {
+	return tables(fbb, times, MaxRunTimes, func(r RunTimes) flatbuffers.UOffsetT {
 		class := fbb.CreateString(r.Class)
 		fb.RunTimesStart(fbb)
 		fb.RunTimesAddClass(fbb, class)
 		fb.RunTimesAddCount(fbb, r.Count)
 		fb.RunTimesAddMean(fbb, r.Mean)
 		fb.RunTimesAddSquare(fbb, r.Square)
-		offs = append(offs, fb.RunTimesEnd(fbb))
-	}
-	return vector(fbb, offs)
+		return fb.RunTimesEnd(fbb)
+	})
 }
 
 func encodeWithdrawals(fbb *flatbuffers.Builder, withdrawals []Withdrawal) flatbuffers.UOffsetT {
-	var offsets []flatbuffers.UOffsetT
-	for _, w := range withdrawals[:min(len(withdrawals), MaxWithdrawals)] {
+	return tables(fbb, withdrawals, MaxWithdrawals, func(w Withdrawal) flatbuffers.UOffsetT {
 		job := fbb.CreateString(w.Job)
 		fb.WithdrawalStart(fbb)
 		fb.WithdrawalAddJob(fbb, job)
 		fb.WithdrawalAddRevision(fbb, w.Revision)
 		fb.WithdrawalAddAt(fbb, int64(w.At))
-		offsets = append(offsets, fb.WithdrawalEnd(fbb))
-	}
-	return vector(fbb, offsets)
+		return fb.WithdrawalEnd(fbb)
+	})
 }
