--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -183,6 +183,16 @@
 	return bodies
 }
 
+// SeenToken is the highest fencing token that a machine's worker has seen, 0 if there is none.
+func (cloud *Cloud) SeenToken(machine string) uint64 {
+	cloud.mu.Lock()
+	defer cloud.mu.Unlock()
+	if worker := cloud.workers[machine]; worker != nil {
+		return worker.heartbeat.FencingToken
+	}
+	return 0
+}
+
 // deleteMachine deletes a machine with its tasks. The lock is held.
 func (cloud *Cloud) deleteMachine(name string) {
 	worker := cloud.workers[name]
