allocation: the reply that renews a lease carries the stops, whatever token is confirmed

Cause: the reply to a worker's first heartbeat under a new token renewed its lease, but commands, stops included, waited for the second heartbeat, which shows the token. Leaders that ended within a heartbeat interval renewed the lease of a cancelled task in turn, and none stopped it.

Change: before the token is confirmed a reply carries the stops of tasks that the heartbeat lists and that have to end: of cancelled jobs, of unknown ones, of superseded attempts, and those that are preempted. Starts and reaps wait as before. A stop names an attempt, which is never used again, so it is right in the reply to a late copy too. It doesn't count as sent, since such a reply may reach nobody. Invariant 7 states it.

--- a/internal/allocation/commands.go
+++ b/internal/allocation/commands.go
@@ -5,10 +5,11 @@
 	"firwood.dev/firwood/wire"
 )
 
-// HeartbeatCommands returns the commands for the reply to the machine's newest heartbeat.
+// HeartbeatCommands returns the commands for the reply to the machine's newest heartbeat. Before the
+// worker has confirmed the token, a heartbeat may be a late copy, so nothing is started or reaped.
 func (tracker *Tracker) HeartbeatCommands(machine *Machine, now clock.Micros) []wire.Command {
 	if !machine.TokenConfirmed {
-		return nil
+		return tracker.RenewalStops(machine)
 	}
 	commands := tracker.exitCleanupCommands(machine)
 	for _, placement := range machine.placements {
@@ -89,9 +90,8 @@
 // appendStop appends the stop of a task that the worker has reported. A task that saves its
 // progress is left to it, unless it has no time left; a command request repeats no stop.
 func appendStop(commands []wire.Command, placement *Placement, now clock.Micros, channel commandChannel) []wire.Command {
-	isSaving := placement.ReportedState == wire.TaskCheckpointing && placement.stopGrace != 0
 	isRepeated := channel == commandRequest && placement.stopSentAt != 0
-	if isSaving || isRepeated {
+	if !placement.needsStop() || isRepeated {
 		return commands
 	}
 	placement.stopSentAt = now
--- a/internal/allocation/doc.go
+++ b/internal/allocation/doc.go
@@ -32,4 +32,8 @@
 //  5. A completion is durable in the key-value store before the worker is told to forget it.
 //  6. Machine type, zone, spot, quota and the places of the job's other tasks are checked again
 //     when a start is put into a message.
+//  7. A reply that renews a worker's lease carries the stop of every task that the heartbeat lists
+//     and that has to end, whatever token the worker has seen. So the lease of such a task is
+//     renewed only by repliers that don't know yet that it has to end, however many leaders there
+//     are; package staleness bounds for how long that may be.
 package allocation
--- /dev/null
+++ b/internal/allocation/renewal_stops.go
@@ -0,0 +1,32 @@
+package allocation
+
+import "firwood.dev/firwood/wire"
+
+// RenewalStops returns the stops that a reply has to carry which renews the machine's lease and gives
+// no other commands (invariant 7): of every task that the worker lists and that has to end. They are
+// right under any token, and in the reply to a late copy: a stop names one attempt, and attempts are
+// never used again.
+//
+// Added after leaders that ended within one heartbeat interval renewed a lease in turn, and each left
+// the stops to its second reply (docs/incidents/renewed-without-stops.md).
+func (tracker *Tracker) RenewalStops(machine *Machine) []wire.Command {
+	var commands []wire.Command
+	for i := range machine.exitedAttempts {
+		if exited := &machine.exitedAttempts[i]; exited.isRunning {
+			commands = append(commands, stopCommand(exited.taskID, exited.attempt, 0))
+		}
+	}
+	for _, placement := range machine.placements {
+		if placement.needsStop() {
+			// It doesn't count as sent: a late copy's reply reaches nobody.
+			commands = append(commands, stopCommand(placement.taskID, placement.Attempt, placement.stopGrace))
+		}
+	}
+	return commands
+}
+
+// needsStop tells whether the worker lists the task, which has to end, and doesn't save it at present.
+func (placement *Placement) needsStop() bool {
+	isSaving := placement.ReportedState == wire.TaskCheckpointing && placement.stopGrace != 0
+	return placement.Phase == PhaseReported && placement.isStopping && !isSaving
+}
