leader, controller: stops in every renewing reply: overtaken, to unknown machines, as delegate

Cause: three more replies renewed a worker's lease without stopping tasks that have to end: to a heartbeat that the answer to a probe or a command request had overtaken, to a machine that no record names, and of a delegate, whose view knows of cancellations.

Change: all replies of a leader that renew a lease go through renewLease. An overtaken heartbeat gets the stops that the table knows of; an unknown machine those of cancelled and unknown jobs that its heartbeat lists; a delegate stops listed tasks of jobs that its view has as cancelled, and only those: a job that it doesn't know may be newer than its view.

--- a/internal/allocation/renewal_stops.go
+++ b/internal/allocation/renewal_stops.go
@@ -30,3 +30,19 @@
 	isSaving := placement.ReportedState == wire.TaskCheckpointing && placement.stopGrace != 0
 	return placement.Phase == PhaseReported && placement.isStopping && !isSaving
 }
+
+// StopsOfListedTasks returns the stops for the reply to a heartbeat of a machine that no tracker
+// knows: without grace, of the listed tasks whose job has to be gone (invariant 7).
+func StopsOfListedTasks(heartbeat *wire.Heartbeat, mustEnd func(jobID string) bool) []wire.Command {
+	var commands []wire.Command
+	for i := range heartbeat.Tasks {
+		task := &heartbeat.Tasks[i]
+		if task.State == wire.TaskExited {
+			continue
+		}
+		if jobID, _, ok := wire.ParseTaskID(task.TaskID); ok && mustEnd(jobID) {
+			commands = append(commands, stopCommand(task.TaskID, task.Attempt, 0))
+		}
+	}
+	return commands
+}
--- a/internal/controller/delegate_replies.go
+++ b/internal/controller/delegate_replies.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"firwood.dev/firwood/internal/allocation"
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/wire"
@@ -19,6 +20,9 @@
 // the leader is not kept from it. The renewal comes first: a worker that was redirected first
 // had tried an unreachable leader for four seconds, came here, tried it again, and was back
 // after its lease had ended.
+//
+// The reply stops the listed tasks of cancelled jobs, which needs no entitlement: a cancellation is
+// final. Beyond that a delegate commands nothing.
 func (controller *Controller) replyAsDelegate(heartbeat *wire.Heartbeat, reply *server.Reply, now clock.Micros) bool {
 	if controller.term != nil {
 		controller.delegation.delegate.EndTerm(controller.term.IssuedToken(), controller.term.CancellationsKnownAt())
@@ -34,7 +38,8 @@
 		delete(controller.delegation.repliedAt, heartbeat.MachineID)
 		return false
 	}
-	body, err := wire.HeartbeatResponse{FencingToken: token, Commands: []wire.Command{}}.MarshalJSON()
+	stops := allocation.StopsOfListedTasks(heartbeat, controller.isCancelled)
+	body, err := wire.HeartbeatResponse{FencingToken: token, Commands: append([]wire.Command{}, stops...)}.MarshalJSON()
 	if err != nil {
 		return false
 	}
@@ -45,6 +50,13 @@
 	return true
 }
 
+// isCancelled tells whether a job is durably cancelled, as far as the view knows. Jobs that are not in
+// the view may be new, so their tasks are left to the leader.
+func (controller *Controller) isCancelled(jobID string) bool {
+	record := controller.view.Jobs[jobID]
+	return record != nil && record.State == wire.JobCancelled
+}
+
 // isRedirectDue tells whether a worker was answered under the grant last time, within its lease,
 // and can be back before the grant ends. A worker's lease is not renewed while it tries an
 // unreachable leader, so shortly before the grant ends the worker is answered each time.
--- a/internal/controller/delegate_replies_test.go
+++ b/internal/controller/delegate_replies_test.go
@@ -1,11 +1,14 @@
 package controller
 
 import (
+	"slices"
 	"testing"
 
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/delegation"
+	"firwood.dev/firwood/internal/records"
 	"firwood.dev/firwood/internal/server"
+	"firwood.dev/firwood/internal/storeview"
 	"firwood.dev/firwood/wire"
 )
 
@@ -43,3 +46,41 @@
 		t.Fatal("replies as delegate while the leader is reachable")
 	}
 }
+
+// A delegate's reply stops the listed tasks of cancelled jobs, shrunk records included. Tasks of active
+// jobs, and of jobs that it doesn't know, run on: the leader may have started them since its last read.
+func TestDelegateStopsCancelledTasks(t *testing.T) {
+	controller := newTestController(t)
+	controller.view.IsLoaded = true
+	now := 100 * clock.Second
+	controller.delegation.delegate = delegation.NewDelegate(controller.settings.Delegation, 1, now-60*clock.Second)
+	controller.delegation.delegate.RecordLeaderHeartbeat(now-5*clock.Second, 5, controller.delegation.delegate.Timestamp(now-5*clock.Second))
+	spec := &wire.Job{ID: "req-000001", Kind: wire.KindArray, TaskCount: 1, Team: "t"}
+	controller.view.Jobs["req-000001"] = &storeview.Job{Job: records.Job{Spec: spec}}
+	controller.view.Jobs["req-000002"] = &storeview.Job{Job: records.Job{Spec: spec, State: wire.JobCancelled}}
+	controller.view.Jobs["req-000003"] = &storeview.Job{Job: records.Job{State: wire.JobCancelled}}
+	heartbeat := &wire.Heartbeat{MachineID: "i-1", FencingToken: 5}
+	for _, task := range []string{"req-000001/0", "req-000002/0", "req-000003/0", "req-000004/0"} {
+		heartbeat.Tasks = append(heartbeat.Tasks, wire.TaskStatus{TaskID: task, Attempt: 7, State: wire.TaskRunning})
+	}
+	heartbeat.Tasks = append(heartbeat.Tasks, wire.TaskStatus{TaskID: "req-000002/1", Attempt: 7, State: wire.TaskExited})
+	var response wire.HeartbeatResponse
+	reply := server.NewReply(func(_ int, body []byte, _ int) {
+		if err := response.UnmarshalJSON(body); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if !controller.replyAsDelegate(heartbeat, reply, now) {
+		t.Fatal("no answer as delegate")
+	}
+	var stopped []string
+	for _, command := range response.Commands {
+		if command.Action != wire.ActionStop || command.Attempt != 7 {
+			t.Errorf("command %+v", command)
+		}
+		stopped = append(stopped, command.TaskID)
+	}
+	if !slices.Equal(stopped, []string{"req-000002/0", "req-000003/0"}) {
+		t.Fatalf("stopped %v", stopped)
+	}
+}
--- a/internal/controller/worker_heartbeats.go
+++ b/internal/controller/worker_heartbeats.go
@@ -15,8 +15,8 @@
 	lockAdviceWindow   = 12 * clock.Second
 )
 
-// HandleHeartbeat replies to a worker's heartbeat: with commands as leader, without any as
-// delegate, else with a redirect. It may be called on any goroutine.
+// HandleHeartbeat replies to a worker's heartbeat: with commands as leader, with stops of cancelled
+// tasks as delegate, else with a redirect. It may be called on any goroutine.
 func (controller *Controller) HandleHeartbeat(heartbeat *wire.Heartbeat, reply *server.Reply) {
 	if !controller.commands.Post(commandqueue.Heartbeat, func() { controller.handleWorkerHeartbeat(heartbeat, reply) }) {
 		replyUnavailable(reply, reasonOverloaded)
--- a/internal/delegation/config.go
+++ b/internal/delegation/config.go
@@ -9,7 +9,7 @@
 // that no earlier grant ends later than the start of its own term plus GrantTTL. docs/design.md,
 // "Delegated renewal of leases", has the argument.
 //
-// A delegate sends no commands and starts nothing. Its grant also ends early enough for
+// A delegate starts nothing, and stops only tasks of cancelled jobs. Its grant also ends early enough for
 // cancellations to take effect in time: see Config.
 package delegation
 
--- a/internal/leader/worker_heartbeats.go
+++ b/internal/leader/worker_heartbeats.go
@@ -15,20 +15,27 @@
 	if term.deferIfConstrained(heartbeat, reply, now) {
 		return
 	}
-	commands := []wire.Command{}
-	if machine := term.tracker.Machines[heartbeat.MachineID]; machine == nil {
+	machine := term.tracker.Machines[heartbeat.MachineID]
+	if machine == nil {
 		term.noteUnknownMachine(heartbeat.MachineID, now)
-	} else {
-		result := term.recordHeartbeat(machine, heartbeat, now)
-		if result == allocation.HeartbeatFenced {
-			term.environment.Log.Info("deposed: a worker reported a higher fencing token", "machine", heartbeat.MachineID, "token", heartbeat.FencingToken, "own_token", term.tracker.FencingToken())
-			replyUnavailable(reply, "deposed")
-			term.host.HandleHigherToken(term.token)
-			return
-		}
-		if due := term.commandsAfter(result, machine, now); due != nil {
-			commands = due
-		}
+		term.renewLease(reply, allocation.StopsOfListedTasks(heartbeat, term.mustEnd))
+		return
+	}
+	result := term.recordHeartbeat(machine, heartbeat, now)
+	if result == allocation.HeartbeatFenced {
+		term.environment.Log.Info("deposed: a worker reported a higher fencing token", "machine", heartbeat.MachineID, "token", heartbeat.FencingToken, "own_token", term.tracker.FencingToken())
+		replyUnavailable(reply, "deposed")
+		term.host.HandleHigherToken(term.token)
+		return
+	}
+	term.renewLease(reply, term.commandsAfter(result, machine, now))
+}
+
+// renewLease sends the reply that renews a worker's lease. The commands have to include the stop of
+// every task that its heartbeat lists and that has to end (invariant 7 of package allocation).
+func (term *Term) renewLease(reply *server.Reply, commands []wire.Command) {
+	if commands == nil {
+		commands = []wire.Command{} // the protocol has a list
 	}
 	body, err := wire.HeartbeatResponse{FencingToken: term.tracker.FencingToken(), Commands: commands}.MarshalJSON()
 	if err != nil {
@@ -38,6 +45,12 @@
 	reply.SendBefore(200, body, 0, term.replyDeadline(commands))
 }
 
+// mustEnd tells whether tasks of a job have to end: it is cancelled, or over, or unknown.
+func (term *Term) mustEnd(jobID string) bool {
+	job := term.tracker.Jobs[jobID]
+	return job == nil || job.Cancelled
+}
+
 // replyUnavailable replies 503, to be retried after a second.
 func replyUnavailable(reply *server.Reply, reason string) {
 	reply.Send(503, server.ErrorBody(reason), 1)
@@ -66,11 +79,11 @@
 	return result
 }
 
-// commandsAfter is what the reply to an accepted heartbeat commands; a repeated or older one
-// gets none.
+// commandsAfter is what the reply to a heartbeat commands. A repeated or older one, which an answer
+// to a command request or a probe may have overtaken, gets stops alone: its reply renews the lease too.
 func (term *Term) commandsAfter(result allocation.HeartbeatResult, machine *allocation.Machine, now clock.Micros) []wire.Command {
 	if result != allocation.HeartbeatAccepted {
-		return nil
+		return term.tracker.RenewalStops(machine)
 	}
 	term.processTaskEvents(now)
 	commands := term.tracker.HeartbeatCommands(machine, now)
