metrics, leader: GET /metrics, and log lines that would have told of the cancelled task

Need: the records of the incident don't tell why the replies renewed the lease and had no stop, nor that a cancelled task ran on before its time was over.

Change: GET /metrics in Prometheus' text format on the existing server, for leaders and followers: who leads, under which token and for how long it may act, age and revision of the view, replies to heartbeats by result, commands by kind, channel and outcome, cancelled tasks still listed and the age of the oldest, machines that have not confirmed the token, failovers and the durations of their parts. The status is taken on the controller's goroutine, the text made on another. client_golang and common/expfmt are new; server replies may name a media type. Log lines: once in a term for each cancelled task that a worker lists, with the channel of its stop; heartbeats that are held back, starts paused and resumed, with the age of the read; the first and the newest read of a term.

--- a/internal/allocation/commands.go
+++ b/internal/allocation/commands.go
@@ -91,7 +91,7 @@
 // progress is left to it, unless it has no time left; a command request repeats no stop.
 func appendStop(commands []wire.Command, placement *Placement, now clock.Micros, channel commandChannel) []wire.Command {
 	isRepeated := channel == commandRequest && placement.stopSentAt != 0
-	if !placement.needsStop() || isRepeated {
+	if !placement.NeedsStop() || isRepeated {
 		return commands
 	}
 	placement.stopSentAt = now
--- a/internal/allocation/placement.go
+++ b/internal/allocation/placement.go
@@ -91,6 +91,12 @@
 // IsStopping tells whether the placement is to end.
 func (placement *Placement) IsStopping() bool { return placement.isStopping }
 
+// IsStopSent tells whether a command request needn't carry its stop again.
+func (placement *Placement) IsStopSent() bool { return placement.stopSentAt != 0 }
+
+// TaskID returns the ID of its task.
+func (placement *Placement) TaskID() string { return placement.taskID }
+
 // key returns the key of the placement in the machine's attemptRecords.
 func (placement *Placement) key() attemptKey { return attemptKey{placement.taskID, placement.Attempt} }
 
@@ -209,6 +215,7 @@
 		return
 	}
 	delete(machine.placements, placement.taskID)
+	delete(tracker.listedCancelled, placement)
 	tracker.bookUsage(placement, -1)
 	tracker.releaseMachine(placement, now)
 	if cause != wire.ExitDone {
--- a/internal/allocation/renewal_stops.go
+++ b/internal/allocation/renewal_stops.go
@@ -17,7 +17,7 @@
 		}
 	}
 	for _, placement := range machine.placements {
-		if placement.needsStop() {
+		if placement.NeedsStop() {
 			// It doesn't count as sent: a late copy's reply reaches nobody.
 			commands = append(commands, stopCommand(placement.taskID, placement.Attempt, placement.stopGrace))
 		}
@@ -25,8 +25,8 @@
 	return commands
 }
 
-// needsStop tells whether the worker lists the task, which has to end, and doesn't save it at present.
-func (placement *Placement) needsStop() bool {
+// NeedsStop tells whether the worker lists the task, which has to end, and doesn't save it at present.
+func (placement *Placement) NeedsStop() bool {
 	isSaving := placement.ReportedState == wire.TaskCheckpointing && placement.stopGrace != 0
 	return placement.Phase == PhaseReported && placement.isStopping && !isSaving
 }
--- a/internal/allocation/task_report.go
+++ b/internal/allocation/task_report.go
@@ -16,7 +16,11 @@
 	job := tracker.Jobs[jobID]
 	if !ok || job == nil || taskIndex >= len(job.Tasks) {
 		// The job is over or unknown: the task can only be stopped and reaped.
-		machine.exitedAttempts = append(machine.exitedAttempts, exitedAttempt{taskID: taskReport.TaskID, attempt: taskReport.Attempt, isRunning: taskReport.State != wire.TaskExited})
+		isRunning := taskReport.State != wire.TaskExited
+		machine.exitedAttempts = append(machine.exitedAttempts, exitedAttempt{taskID: taskReport.TaskID, attempt: taskReport.Attempt, isRunning: isRunning})
+		if isRunning {
+			tracker.ListedUnknown = append(tracker.ListedUnknown, taskReport.TaskID)
+		}
 		return false
 	}
 	if placement != nil && placement.Attempt != taskReport.Attempt {
@@ -96,6 +100,7 @@
 // recordSeen records that the current heartbeat lists the placement, and returns whether it is the
 // first time that it does.
 func (tracker *Tracker) recordSeen(placement *Placement) bool {
+	tracker.noteIfCancelled(placement)
 	first := placement.lastSeenHeartbeat != tracker.heartbeatCount
 	placement.lastSeenHeartbeat = tracker.heartbeatCount
 	return first
--- a/internal/allocation/tracker.go
+++ b/internal/allocation/tracker.go
@@ -45,6 +45,7 @@
 	teamUsage
 	dispatchQueues
 	attemptState
+	cancelledTasks
 	heartbeatCount uint64     // accepted heartbeats; placements record it when they are listed
 	sortedMachines []*Machine // nil after machines were added or removed
 
--- a/internal/ci/layout/layers.go
+++ b/internal/ci/layout/layers.go
@@ -43,6 +43,7 @@
 		"internal/client",
 		"internal/cloud",
 		"internal/kvstore",
+		"internal/metrics",
 		"internal/peer",
 		"internal/server",
 		"internal/tracing",
--- a/internal/controller/controller_setup.go
+++ b/internal/controller/controller_setup.go
@@ -17,6 +17,7 @@
 	"firwood.dev/firwood/internal/jobhistory"
 	"firwood.dev/firwood/internal/kvstore"
 	"firwood.dev/firwood/internal/leader"
+	"firwood.dev/firwood/internal/metrics"
 	"firwood.dev/firwood/internal/records"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/internal/standby"
@@ -36,6 +37,7 @@
 			commands: commandqueue.New(deployment.ProcessLimits.MaxSockets, len(cfg.Peers)), stopped: make(chan struct{}),
 			workerRequests: workerRequestLimits{limiter: limiter, pool: client.NewPool(dial, limiter), maxInFlight: max(cfg.ConnectionLimit()/24, 4)},
 			settings:       settings,
+			metrics:        metrics.New(),
 		},
 		dependencyGraph: dag.New(),
 		elector:         election.New(election.Config{Member: cfg.Member, TTL: settings.LeaderTTL, TimerSlack: electionTimerSlack}),
--- a/internal/controller/controller_state.go
+++ b/internal/controller/controller_state.go
@@ -16,6 +16,7 @@
 	"firwood.dev/firwood/internal/jobhistory"
 	"firwood.dev/firwood/internal/kvstore"
 	"firwood.dev/firwood/internal/leader"
+	"firwood.dev/firwood/internal/metrics"
 	"firwood.dev/firwood/internal/peer"
 	"firwood.dev/firwood/internal/rateshare"
 	"firwood.dev/firwood/internal/server"
@@ -39,6 +40,7 @@
 
 	workerRequests workerRequestLimits
 	settings       leader.Settings
+	metrics        *metrics.Metrics
 }
 
 // workerRequestLimits bounds the requests that a leader sends to workers.
--- a/internal/controller/delegate_replies.go
+++ b/internal/controller/delegate_replies.go
@@ -3,6 +3,7 @@
 import (
 	"firwood.dev/firwood/internal/allocation"
 	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/metrics"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/wire"
 )
@@ -46,6 +47,8 @@
 	// The reply goes out soon, or not at all.
 	until := min(grantUntil, now+delegatedReplyTimeout)
 	controller.recordDelegatedReply(heartbeat.MachineID, until, now)
+	controller.metrics.CountReply(metrics.ReplyAsDelegate)
+	controller.metrics.CountCommands(stops, metrics.ChannelDelegate, metrics.OutcomeSent)
 	reply.SendBefore(200, body, 0, until)
 	return true
 }
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -45,7 +45,7 @@
 	controller.failover.isRebuilding = true
 	controller.failover.last = leader.FailoverTimes{LeaderHeartbeatAt: controller.failover.leaderHeartbeatAt, LockWonAt: clock.Now(), Token: controller.elector.Token()}
 	controller.applyRateShares()
-	controller.log.Info("leadership acquired", "token", controller.elector.Token(), "lease", controller.elector.LeaseID())
+	controller.log.Info("leadership acquired", "token", controller.elector.Token(), "lease", controller.elector.LeaseID(), "may_act_s", (controller.elector.EntitledUntil() - clock.Now()).Seconds())
 	controller.rebuildTerm()
 }
 
@@ -90,7 +90,7 @@
 	if controller.term == nil {
 		return
 	}
-	controller.log.Info("leadership term ended", "reason", string(reason), "token", controller.term.Token())
+	controller.log.Info("leadership term ended", "reason", string(reason), "token", controller.term.Token(), "read_revision", controller.view.Revision, "read_age_s", controller.term.ViewAge(clock.Now()).Seconds())
 	controller.delegation.delegate.EndTerm(controller.term.IssuedToken(), controller.term.CancellationsKnownAt())
 	controller.delegation.unconfirmedConstraints = controller.term.Close()
 	controller.term = nil
--- a/internal/controller/term_host.go
+++ b/internal/controller/term_host.go
@@ -18,7 +18,7 @@
 		WorkerRequests: leader.WorkerRequests{Pool: controller.workerRequests.pool, MaxInFlight: controller.workerRequests.maxInFlight},
 		View:           controller.view, Graph: controller.dependencyGraph, Hints: controller.failover.hints,
 		Delegate: controller.delegation.delegate, Replica: controller.failover.replica,
-		Failover: &controller.failover.last, Tracer: controller.failover.tracer,
+		Failover: &controller.failover.last, Tracer: controller.failover.tracer, Metrics: controller.metrics,
 	}, termHost{controller}, token, readAt)
 }
 
--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -33,6 +33,8 @@
 	lastSyncAt    clock.Micros
 	isPolling     bool
 	nextPollAt    clock.Micros
+	// readSentAt is when the newest read that the view has was sent, 0 if there is none.
+	readSentAt clock.Micros
 }
 
 // loadAll reads everything, at the start and after a watch fell too far behind. A goroutine of its
@@ -42,6 +44,7 @@
 		return
 	}
 	controller.watches.isLoading = true
+	sentAt := clock.Now()
 	go func() {
 		filter := storeview.NewLoadFilter(controller.history.capacity)
 		revision, err := controller.store.LoadPrefix(records.WatchedPrefix, filter.Add)
@@ -55,6 +58,7 @@
 				controller.loadAll()
 				return
 			}
+			controller.recordRead(sentAt)
 			controller.applyLoad(filter, revision)
 		})
 	}()
@@ -137,9 +141,11 @@
 	case <-controller.stopped:
 		return
 	}
+	sentAt := clock.Now()
 	events, err := controller.store.Watch(records.WatchedPrefix, from, block)
 	controller.postResult(func() {
 		if err == nil {
+			controller.recordRead(sentAt)
 			controller.storeUse.shares.ObserveChanges(controller.view.Apply(events))
 			controller.observeLock()
 		} else if errors.Is(err, kvstore.ErrCompacted) {
@@ -149,6 +155,11 @@
 	})
 }
 
+// recordRead notes that the view has all changes up to an instant at which a read was sent.
+func (controller *Controller) recordRead(sentAt clock.Micros) {
+	controller.watches.readSentAt = max(controller.watches.readSentAt, sentAt)
+}
+
 // observeLock passes the lock to the elector, unless the view is older than this member's own
 // token: it then shows a lock from before the election.
 func (controller *Controller) observeLock() {
--- a/internal/controller/worker_heartbeats.go
+++ b/internal/controller/worker_heartbeats.go
@@ -4,6 +4,7 @@
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/commandqueue"
 	"firwood.dev/firwood/internal/leader"
+	"firwood.dev/firwood/internal/metrics"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/wire"
 )
@@ -19,6 +20,7 @@
 // tasks as delegate, else with a redirect. It may be called on any goroutine.
 func (controller *Controller) HandleHeartbeat(heartbeat *wire.Heartbeat, reply *server.Reply) {
 	if !controller.commands.Post(commandqueue.Heartbeat, func() { controller.handleWorkerHeartbeat(heartbeat, reply) }) {
+		controller.metrics.CountReply(metrics.ReplyRefused)
 		replyUnavailable(reply, reasonOverloaded)
 	}
 }
@@ -40,6 +42,7 @@
 	if err != nil {
 		body = []byte("{}")
 	}
+	controller.metrics.CountReply(metrics.ReplyRedirected)
 	reply.Send(421, body, 0)
 }
 
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -178,7 +178,7 @@
 		retryAfter := rapid.IntRange(0, 30).Draw(t, "retry")
 		closeAfter := rapid.Bool().Draw(t, "close")
 		parser := NewResponseParser(DefaultLimits)
-		parser.Feed(AppendResponse(nil, 503, body, retryAfter, closeAfter))
+		parser.Feed(AppendResponse(nil, &Response{Status: 503, Body: body, RetryAfter: retryAfter, Close: closeAfter}))
 		message, err := parser.Next()
 		if err != nil || message == nil || message.Status != 503 || !bytes.Equal(message.Body, body) || message.RetryAfter != retryAfter || message.Close != closeAfter {
 			t.Fatalf("%+v %v", message, err)
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -12,23 +12,41 @@
 	431: "Request Header Fields Too Large", 503: "Service Unavailable", 504: "Gateway Timeout",
 }
 
-// AppendResponse appends a response with a JSON body to dst. retryAfter is in seconds, 0 for none.
-func AppendResponse(dst []byte, status int, body []byte, retryAfter int, closeAfter bool) []byte {
+// ContentTypeJSON is the media type of a response that names none.
+const ContentTypeJSON = "application/json"
+
+// Response is a response to be sent.
+type Response struct {
+	Status      int
+	ContentType string // "" is ContentTypeJSON
+	Body        []byte
+	RetryAfter  int  // seconds, 0 for none
+	Close       bool // the connection is closed after it
+}
+
+// AppendResponse appends a response to dst.
+func AppendResponse(dst []byte, response *Response) []byte {
+	contentType := response.ContentType
+	if contentType == "" {
+		contentType = ContentTypeJSON
+	}
 	dst = append(dst, "HTTP/1.1 "...)
-	dst = strconv.AppendInt(dst, int64(status), 10)
+	dst = strconv.AppendInt(dst, int64(response.Status), 10)
 	dst = append(dst, ' ')
-	dst = append(dst, reasonPhrases[status]...)
-	dst = append(dst, "\r\nContent-Type: application/json\r\nContent-Length: "...)
-	dst = strconv.AppendInt(dst, int64(len(body)), 10)
-	if retryAfter > 0 {
+	dst = append(dst, reasonPhrases[response.Status]...)
+	dst = append(dst, "\r\nContent-Type: "...)
+	dst = append(dst, contentType...)
+	dst = append(dst, "\r\nContent-Length: "...)
+	dst = strconv.AppendInt(dst, int64(len(response.Body)), 10)
+	if response.RetryAfter > 0 {
 		dst = append(dst, "\r\nRetry-After: "...)
-		dst = strconv.AppendInt(dst, int64(retryAfter), 10)
+		dst = strconv.AppendInt(dst, int64(response.RetryAfter), 10)
 	}
-	if closeAfter {
+	if response.Close {
 		dst = append(dst, "\r\nConnection: close"...)
 	}
 	dst = append(dst, "\r\n\r\n"...)
-	return append(dst, body...)
+	return append(dst, response.Body...)
 }
 
 // AppendRequest appends a request to dst, with a JSON body unless it is nil.
--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"testing"
 
+	"firwood.dev/firwood/internal/allocation"
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/peer"
 	"firwood.dev/firwood/internal/records"
@@ -120,3 +121,34 @@
 	runtime.ReadMemStats(&stats)
 	return float64(stats.HeapAlloc)
 }
+
+// Reading the metrics of a large fleet: a tenth of its tasks belong to cancelled jobs and are listed
+// still. The controller's goroutine is held up for this long.
+func BenchmarkMetricsStatus(b *testing.B) {
+	for _, machines := range fleetSizes {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) {
+			owner := ownerOf(newTestTerm(b))
+			term := failOverFleet(b, owner, addFleetRecords(owner, machines))
+			for i := 0; i < len(term.tracker.Jobs); i += 10 {
+				term.tracker.Cancel(term.tracker.Jobs[fmt.Sprintf("req-%06d", i)], clock.Now())
+			}
+			for _, machine := range term.tracker.SortedMachines() {
+				term.HandleHeartbeat(heartbeatAgain(machine), &server.Reply{})
+			}
+			for b.Loop() {
+				if status := term.MetricsStatus(clock.Now()); status.ListedCancelledTasks < machines/2 {
+					b.Fatalf("%+v", status)
+				}
+			}
+		})
+	}
+}
+
+// heartbeatAgain is a machine's next heartbeat, with the tasks that it had.
+func heartbeatAgain(machine *allocation.Machine) *wire.Heartbeat {
+	heartbeat := &wire.Heartbeat{MachineID: machine.Name, Address: machine.Address, Incarnation: machine.Incarnation, Sequence: machine.HeartbeatSequence + 1, FencingToken: 10}
+	machine.ForEachPlacement(func(placement *allocation.Placement) {
+		heartbeat.Tasks = append(heartbeat.Tasks, wire.TaskStatus{TaskID: placement.TaskID(), Attempt: placement.Attempt, State: wire.TaskRunning})
+	})
+	return heartbeat
+}
--- /dev/null
+++ b/internal/leader/cancelled_task_log_test.go
@@ -0,0 +1,91 @@
+package leader
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/wire"
+)
+
+// captureLog has a term's lines written to a buffer.
+func captureLog(term *Term) *bytes.Buffer {
+	var lines bytes.Buffer
+	term.environment.Log = slog.New(slog.NewTextHandler(&lines, nil))
+	return &lines
+}
+
+// The log tells once in a term of each task of a cancelled job that a worker lists, and by which
+// channel its stop goes; a probe's answer has none before the token is confirmed.
+func TestListedCancelledTaskIsLoggedOnce(t *testing.T) {
+	for _, test := range []struct {
+		name, channel string
+		isProbe       bool
+		workerToken   uint64
+	}{
+		{"heartbeat", stopInReply, false, 4},
+		{"probe, token not confirmed", stopNeedsToken, true, 4},
+		{"probe", stopInRequest, true, 9},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			term := newTermWithCancelledJob(t)
+			lines := captureLog(term)
+			for sequence := uint64(5); sequence < 8; sequence++ {
+				heartbeat := heartbeatWith("i-1", cancelledTask, sequence, test.workerToken)
+				if test.isProbe {
+					term.handleProbeAnswer(term.tracker.Machines["i-1"], term.machines["i-1"], heartbeat, clock.Now())
+				} else {
+					replyTo(t, term, heartbeat)
+				}
+			}
+			want := fmt.Sprintf(`stop_channel=%q machine=i-1 worker_token=%d token=9 suppressed=0`, test.channel, test.workerToken)
+			if text := lines.String(); strings.Count(text, "worker lists a cancelled task") != 1 || !strings.Contains(text, want) {
+				t.Fatalf("log, want %s:\n%s", want, text)
+			}
+		})
+	}
+}
+
+// Thousands of listed tasks cause no more than a bounded number of lines, and the next line tells how
+// many there were besides.
+func TestListedTaskLinesAreBounded(t *testing.T) {
+	term := newTermWithCancelledJob(t)
+	lines := captureLog(term)
+	heartbeat := &wire.Heartbeat{MachineID: "i-1"}
+	now := clock.Now()
+	for i := range 1000 {
+		term.tracker.ListedUnknown = append(term.tracker.ListedUnknown, wire.TaskID("req-000002", i))
+	}
+	term.logListedCancelled(term.tracker.Machines["i-1"], heartbeat, true, now)
+	if got := strings.Count(lines.String(), "\n"); got != logLimitLines {
+		t.Fatalf("%d lines", got)
+	}
+	term.tracker.ListedUnknown = []string{"req-000002/0"}
+	term.logListedCancelled(term.tracker.Machines["i-1"], heartbeat, true, now+logLimitWindow)
+	if want := fmt.Sprintf("suppressed=%d", 1000-logLimitLines); !strings.Contains(lines.String(), want) {
+		t.Fatalf("no %s in:\n%s", want, lines)
+	}
+}
+
+// Starts that are paused for the age of the view, and resumed, are logged once each, and a heartbeat
+// that has to wait with the reason.
+func TestWhatIsHeldBackIsLogged(t *testing.T) {
+	term := newTestTerm(t, "i-1")
+	lines := captureLog(term)
+	old := term.entitlement.viewAge.LastReadSentAt() + term.environment.Staleness.RenewalWindow + clock.Second
+	for range 3 {
+		term.pauseStartsIfStale(old)
+	}
+	term.recordViewRead(clock.Now())
+	text := lines.String()
+	if strings.Count(text, "starts paused: the view is too old") != 1 || strings.Count(text, "starts resumed") != 1 {
+		t.Fatalf("log:\n%s", text)
+	}
+	term.deferHeartbeat(deferredHeartbeat{heartbeat: heartbeatWith("i-1", cancelledTask, 5, 4), receivedAt: clock.Now()}, "the view is too old")
+	if !strings.Contains(lines.String(), `msg="heartbeat held back" reason="the view is too old" machine=i-1 zone=x`) {
+		t.Fatalf("log:\n%s", lines)
+	}
+}
--- a/internal/leader/command_requests.go
+++ b/internal/leader/command_requests.go
@@ -7,6 +7,7 @@
 	"firwood.dev/firwood/internal/client"
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/http1"
+	"firwood.dev/firwood/internal/metrics"
 	"firwood.dev/firwood/wire"
 )
 
@@ -67,6 +68,7 @@
 			heartbeat = decodeHeartbeatOf(name, response.Body)
 		}
 		return func() {
+			term.environment.Metrics.CountCommands(message.Commands, metrics.ChannelRequest, commandOutcome(result))
 			term.commandRequestsInFlight--
 			term.handleCommandResponse(machine, machineInfo, starts, result, heartbeat)
 		}
@@ -90,6 +92,20 @@
 	}
 }
 
+// commandOutcome is the outcome that metrics count.
+func commandOutcome(result allocation.CommandResult) metrics.CommandOutcome {
+	switch result {
+	case allocation.CommandNotSent:
+		return metrics.OutcomeNotSent
+	case allocation.CommandExecuted:
+		return metrics.OutcomeExecuted
+	case allocation.CommandRejected:
+		return metrics.OutcomeRejected
+	case allocation.CommandOutcomeUnknown:
+	}
+	return metrics.OutcomeUnknown
+}
+
 // handleCommandResponse takes what became of a command request.
 func (term *Term) handleCommandResponse(machine *allocation.Machine, machineInfo *machineState, starts []*allocation.Placement, result allocation.CommandResult, heartbeat *wire.Heartbeat) {
 	now := clock.Now()
@@ -104,6 +120,9 @@
 		term.host.HandleHigherToken(term.token)
 		return
 	}
+	if heartbeat != nil {
+		term.logListedCancelled(machine, heartbeat, false, now)
+	}
 	term.processTaskEvents(now)
 	term.requestPlan()
 }
--- a/internal/leader/constraints.go
+++ b/internal/leader/constraints.go
@@ -8,6 +8,7 @@
 	"firwood.dev/firwood/internal/config"
 	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/internal/kvstore"
+	"firwood.dev/firwood/internal/metrics"
 	"firwood.dev/firwood/internal/records"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/wire"
@@ -204,7 +205,7 @@
 func (term *Term) deferIfConstrained(heartbeat *wire.Heartbeat, reply *server.Reply, now clock.Micros) bool {
 	if !term.entitlement.viewAge.MayRenewLeases(now) {
 		// No reply may renew its lease before the view has been read again.
-		term.renewals.deferredHeartbeats = append(term.renewals.deferredHeartbeats, deferredHeartbeat{heartbeat, reply, now})
+		term.deferHeartbeat(deferredHeartbeat{heartbeat, reply, now}, "the view is too old")
 		term.refreshView(now)
 		return true
 	}
@@ -212,10 +213,11 @@
 		return false
 	}
 	if machine := term.tracker.Machines[heartbeat.MachineID]; machine != nil && !heartbeat.IsNewerThan(machine.Incarnation, machine.HeartbeatSequence) {
+		term.environment.Metrics.CountReply(metrics.ReplyRefused)
 		replyUnavailable(reply, "an older report")
 		return true
 	}
-	term.renewals.deferredHeartbeats = append(term.renewals.deferredHeartbeats, deferredHeartbeat{heartbeat, reply, now})
+	term.deferHeartbeat(deferredHeartbeat{heartbeat, reply, now}, "the zone is constrained")
 	if !term.renewals.liftingZones[heartbeat.Zone] {
 		term.renewals.liftingZones[heartbeat.Zone] = true
 		term.updateConstraints(now)
@@ -223,6 +225,22 @@
 	return true
 }
 
+// deferHeartbeat keeps a heartbeat until it may be replied to, and logs why it has to wait.
+func (term *Term) deferHeartbeat(deferred deferredHeartbeat, reason string) {
+	term.renewals.deferredHeartbeats = append(term.renewals.deferredHeartbeats, deferred)
+	term.environment.Metrics.CountReply(metrics.ReplyDeferred)
+	if suppressed, isAllowed := term.logs.heldBackHeartbeats.allow(deferred.receivedAt); isAllowed {
+		term.environment.Log.Info("heartbeat held back", "reason", reason, "machine", deferred.heartbeat.MachineID, "zone", deferred.heartbeat.Zone,
+			"read_age_s", term.viewAge(deferred.receivedAt).Seconds(), "suppressed", suppressed)
+	}
+}
+
+// refuseDeferred has a worker whose heartbeat was kept try again.
+func (term *Term) refuseDeferred(deferred deferredHeartbeat, reason string) {
+	term.environment.Metrics.CountReply(metrics.ReplyRefused)
+	replyUnavailable(deferred.reply, reason)
+}
+
 // retryDeferred handles the deferred heartbeats whose zones are not constrained any more, and
 // refuses those that have waited for too long. One of them may show a higher token, which ends the
 // term: those after it are refused, since a reply would renew a lease in a term that is over.
@@ -233,11 +251,11 @@
 	for _, waiting := range deferred {
 		switch {
 		case term.isClosed:
-			replyUnavailable(waiting.reply, termOverReply)
+			term.refuseDeferred(waiting, termOverReply)
 		case !term.renewals.constraints.MayConstrainZone(waiting.heartbeat.Zone) && term.entitlement.viewAge.MayRenewLeases(now):
 			term.HandleHeartbeat(waiting.heartbeat, waiting.reply)
 		case now-waiting.receivedAt > maxDeferral:
-			replyUnavailable(waiting.reply, "the state service does not answer")
+			term.refuseDeferred(waiting, "the state service does not answer")
 		default:
 			term.renewals.deferredHeartbeats = append(term.renewals.deferredHeartbeats, waiting)
 		}
--- a/internal/leader/entitlement.go
+++ b/internal/leader/entitlement.go
@@ -49,13 +49,32 @@
 // again; it tells whether tasks may be started.
 func (term *Term) pauseStartsIfStale(now clock.Micros) (mayStart bool) {
 	mayStart = term.entitlement.viewAge.MayStartTasks(now)
-	term.tracker.SetStartsPaused(!mayStart)
+	term.setStartsPaused(!mayStart, now)
 	if !mayStart {
 		term.refreshView(now)
 	}
 	return mayStart
 }
 
+// setStartsPaused pauses or resumes starts, and logs a change.
+func (term *Term) setStartsPaused(isPaused bool, now clock.Micros) {
+	term.tracker.SetStartsPaused(isPaused)
+	if isPaused == term.logs.areStartsPaused {
+		return
+	}
+	term.logs.areStartsPaused = isPaused
+	message := "starts resumed"
+	if isPaused {
+		message = "starts paused: the view is too old"
+	}
+	term.environment.Log.Info(message, "token", term.token, "read_revision", term.environment.View.Revision, "read_age_s", term.viewAge(now).Seconds())
+}
+
+// viewAge is the time since the newest completed read of the store was sent.
+func (term *Term) viewAge(now clock.Micros) clock.Micros {
+	return max(now-term.entitlement.viewAge.LastReadSentAt(), 0)
+}
+
 // refreshView has the view read again, which is too old to start tasks on it, or even to renew
 // leases. One read is under way at a time.
 func (term *Term) refreshView(now clock.Micros) {
@@ -80,7 +99,8 @@
 func (term *Term) recordViewRead(sentAt clock.Micros) {
 	term.entitlement.viewAge.RecordRead(sentAt)
 	term.updateDeadlines()
-	term.tracker.SetStartsPaused(!term.entitlement.viewAge.MayStartTasks(clock.Now()))
+	now := clock.Now()
+	term.setStartsPaused(!term.entitlement.viewAge.MayStartTasks(now), now)
 	term.requestPlan()
 	term.retryDeferred()
 }
--- a/internal/leader/environment.go
+++ b/internal/leader/environment.go
@@ -10,6 +10,7 @@
 	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/internal/hints"
 	"firwood.dev/firwood/internal/kvstore"
+	"firwood.dev/firwood/internal/metrics"
 	"firwood.dev/firwood/internal/standby"
 	"firwood.dev/firwood/internal/storeview"
 	"firwood.dev/firwood/internal/tracing"
@@ -36,6 +37,7 @@
 	Replica  *standby.Replica     // of the last leader's allocation table, nil if standby is off
 	Failover *FailoverTimes       // of the failover that this term came from
 	Tracer   *tracing.Tracer
+	Metrics  *metrics.Metrics
 }
 
 // WorkerRequests is for the requests that a leader sends to workers.
--- a/internal/leader/failover_times.go
+++ b/internal/leader/failover_times.go
@@ -5,6 +5,7 @@
 
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/jobreport"
+	"firwood.dev/firwood/internal/metrics"
 	"firwood.dev/firwood/internal/tracing"
 )
 
@@ -60,6 +61,7 @@
 		return
 	}
 	times.firstDecisionAt = now
+	term.environment.Metrics.ObserveFailover(metrics.FailoverFirstDecision, now-times.rebuiltAt)
 	status := times.Status()
 	term.environment.Log.Info("first decision after failover", "token", times.Token, "lock_ms", status.LockMs, "rebuild_ms", status.RebuildMs,
 		"first_decision_ms", status.FirstDecisionMs, "replica_used", times.isReplicaUsed, "unconfirmed", times.unconfirmed)
--- a/internal/leader/owner_test.go
+++ b/internal/leader/owner_test.go
@@ -16,6 +16,7 @@
 	"firwood.dev/firwood/internal/hints"
 	"firwood.dev/firwood/internal/jobreport"
 	"firwood.dev/firwood/internal/kvstore"
+	"firwood.dev/firwood/internal/metrics"
 	"firwood.dev/firwood/internal/peer"
 	"firwood.dev/firwood/internal/records"
 	"firwood.dev/firwood/internal/standby"
@@ -73,7 +74,7 @@
 			Cloud:          cloud.New(client.DialTCP, cfg.External.CloudAddress, cfg.Deployment.Cloud.RPS),
 			WorkerRequests: WorkerRequests{Pool: client.NewPool(client.DialTCP, connlimit.New(cfg.ConnectionLimit())), MaxInFlight: max(cfg.ConnectionLimit()/24, 4)},
 			Graph:          dag.New(), Hints: hints.New(),
-			Delegate: delegate, Replica: standby.NewReplica(delegate.Timestamp(clock.Now()).Incarnation), Failover: &FailoverTimes{},
+			Delegate: delegate, Replica: standby.NewReplica(delegate.Timestamp(clock.Now()).Incarnation), Failover: &FailoverTimes{}, Metrics: metrics.New(),
 		},
 		commands:   commandqueue.New(cfg.Deployment.ProcessLimits.MaxSockets, len(cfg.Peers)),
 		heartbeats: map[string]*ReceivedHeartbeat{}, contacts: map[string]WorkerContact{},
--- a/internal/leader/recovery.go
+++ b/internal/leader/recovery.go
@@ -6,6 +6,7 @@
 	"firwood.dev/firwood/internal/config"
 	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/internal/forecast"
+	"firwood.dev/firwood/internal/metrics"
 	"firwood.dev/firwood/internal/scaleout"
 	"firwood.dev/firwood/internal/scheduler"
 	"firwood.dev/firwood/wire"
@@ -173,5 +174,11 @@
 	failover := term.environment.Failover
 	failover.rebuiltAt, failover.unconfirmed = clock.Now(), term.unconfirmedCount()
 	term.environment.Log.Info("allocation table rebuilt", "token", term.token, "jobs", len(term.tracker.Jobs), "machines", len(term.tracker.Machines), "reconciled", term.tracker.IsReconciled(),
-		"unconfirmed", failover.unconfirmed, "replica_used", failover.isReplicaUsed)
+		"unconfirmed", failover.unconfirmed, "replica_used", failover.isReplicaUsed,
+		"read_revision", term.environment.View.Revision, "read_age_s", term.viewAge(failover.rebuiltAt).Seconds(), "may_act_s", (term.host.EntitledUntil() - failover.rebuiltAt).Seconds())
+	term.environment.Metrics.CountFailover()
+	if failover.LeaderHeartbeatAt != 0 {
+		term.environment.Metrics.ObserveFailover(metrics.FailoverLock, failover.LockWonAt-failover.LeaderHeartbeatAt)
+	}
+	term.environment.Metrics.ObserveFailover(metrics.FailoverRebuild, failover.rebuiltAt-failover.LockWonAt)
 }
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -28,6 +28,7 @@
 	renewals    leaseRenewals
 	pace        tickPace
 	hints       hintSender
+	logs        logLimits
 	// standby streams the allocation table to replicas, nil if that is turned off.
 	standby *decisionStream
 	backgroundWork
@@ -72,6 +73,12 @@
 	deferredHeartbeats []deferredHeartbeat
 }
 
+// logLimits bound lines that many machines or tasks may cause at once.
+type logLimits struct {
+	listedTasks, heldBackHeartbeats logLimit
+	areStartsPaused                 bool // as last logged
+}
+
 // tickPace is when the periodic steps of a tick are due.
 type tickPace struct {
 	needsPlan      bool // something has changed since the last plan
@@ -169,7 +176,7 @@
 	term.entitlement.actDeadline.Store(0)
 	term.entitlement.startDeadline.Store(0)
 	for _, deferred := range term.renewals.deferredHeartbeats {
-		replyUnavailable(deferred.reply, termOverReply)
+		term.refuseDeferred(deferred, termOverReply)
 	}
 	term.renewals.deferredHeartbeats = nil
 	return term.renewals.constraints.ConstrainedZones()
--- a/internal/leader/worker_heartbeats.go
+++ b/internal/leader/worker_heartbeats.go
@@ -5,6 +5,7 @@
 
 	"firwood.dev/firwood/internal/allocation"
 	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/internal/metrics"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/wire"
 )
@@ -18,22 +19,29 @@
 	machine := term.tracker.Machines[heartbeat.MachineID]
 	if machine == nil {
 		term.noteUnknownMachine(heartbeat.MachineID, now)
-		term.renewLease(reply, allocation.StopsOfListedTasks(heartbeat, term.mustEnd))
+		term.renewLease(reply, allocation.StopsOfListedTasks(heartbeat, term.mustEnd), metrics.ReplyUnknownMachine)
 		return
 	}
 	result := term.recordHeartbeat(machine, heartbeat, now)
 	if result == allocation.HeartbeatFenced {
 		term.environment.Log.Info("deposed: a worker reported a higher fencing token", "machine", heartbeat.MachineID, "token", heartbeat.FencingToken, "own_token", term.tracker.FencingToken())
+		term.environment.Metrics.CountReply(metrics.ReplyFenced)
 		replyUnavailable(reply, "deposed")
 		term.host.HandleHigherToken(term.token)
 		return
 	}
-	term.renewLease(reply, term.commandsAfter(result, machine, now))
+	commands := term.commandsAfter(result, machine, now)
+	term.logListedCancelled(machine, heartbeat, true, now)
+	if len(commands) > 0 {
+		term.renewLease(reply, commands, metrics.ReplyRenewedWithCommands)
+	} else {
+		term.renewLease(reply, commands, metrics.ReplyRenewed)
+	}
 }
 
 // renewLease sends the reply that renews a worker's lease. The commands have to include the stop of
 // every task that its heartbeat lists and that has to end (invariant 7 of package allocation).
-func (term *Term) renewLease(reply *server.Reply, commands []wire.Command) {
+func (term *Term) renewLease(reply *server.Reply, commands []wire.Command, result metrics.HeartbeatReply) {
 	if commands == nil {
 		commands = []wire.Command{} // the protocol has a list
 	}
@@ -42,6 +50,8 @@
 		replyUnavailable(reply, "cannot be encoded")
 		return
 	}
+	term.environment.Metrics.CountReply(result)
+	term.environment.Metrics.CountCommands(commands, metrics.ChannelReply, metrics.OutcomeSent)
 	reply.SendBefore(200, body, 0, term.replyDeadline(commands))
 }
 
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,172 @@
+package metrics
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/wire"
+)
+
+// namespace begins the name of every metric.
+const namespace = "firwood"
+
+// ContentType is the media type of what Encode returns.
+var ContentType = string(textFormat)
+
+var textFormat = expfmt.NewFormat(expfmt.TypeTextPlain)
+
+// failoverBuckets are the upper bounds, in seconds, of a failover part's durations.
+var failoverBuckets = []float64{0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 15, 30, 60, 120}
+
+// Status is a controller's state at one instant. What only a leader knows is zero at other members.
+type Status struct {
+	IsLeader bool
+	// Token is the newest leader's as far as known, the own one at a leader.
+	Token uint64
+	// MayAct is for how long the leader may still act without another renewal of its lock.
+	MayAct clock.Micros
+	// ViewAge is the time since the newest completed read of the store was sent, and ViewRevision
+	// the store's revision that the view has reached.
+	ViewAge      clock.Micros
+	ViewRevision uint64
+	LeaderStatus
+}
+
+// LeaderStatus is the part of a Status that only a leader has.
+type LeaderStatus struct {
+	Machines int
+	// UnconfirmedMachines are those whose worker has not shown the leader's token: they may only be
+	// told to stop tasks.
+	UnconfirmedMachines int
+	// ListedCancelledTasks are tasks of cancelled jobs that workers still list as not exited, and
+	// OldestCancellation is the time since the earliest of their cancellations was confirmed.
+	ListedCancelledTasks int
+	OldestCancellation   clock.Micros
+}
+
+// Metrics are the metrics of one process.
+type Metrics struct {
+	replies   [heartbeatReplyCount]prometheus.Counter
+	commands  *prometheus.CounterVec
+	failovers [failoverPartCount]prometheus.Observer
+	taken     prometheus.Counter
+
+	mu       sync.Mutex // guards the gauges from being set to their being gathered
+	gauges   gauges
+	registry *prometheus.Registry
+}
+
+// gauges are the metrics that a Status sets.
+type gauges struct {
+	leader, token, mayAct, viewAge, viewRevision   prometheus.Gauge
+	machines, unconfirmed, listed, oldestCancelled prometheus.Gauge
+}
+
+// New returns metrics that are all zero.
+func New() *Metrics {
+	metrics := &Metrics{registry: prometheus.NewRegistry()}
+	replies := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "heartbeat_replies_total", Help: "Replies to workers' heartbeats, by result."}, []string{"result"})
+	for reply := range metrics.replies {
+		metrics.replies[reply] = replies.WithLabelValues(HeartbeatReply(reply).String())
+	}
+	metrics.commands = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "commands_total", Help: "Commands to workers, by kind, channel and outcome."}, []string{"kind", "channel", "outcome"})
+	failovers := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "failover_seconds", Help: "Durations of the parts of this member's failovers.", Buckets: failoverBuckets}, []string{"part"})
+	for part := range metrics.failovers {
+		metrics.failovers[part] = failovers.WithLabelValues(FailoverPart(part).String())
+	}
+	metrics.taken = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "failovers_total", Help: "Terms that this member has begun as leader."})
+	metrics.registry.MustRegister(replies, metrics.commands, failovers, metrics.taken)
+	metrics.gauges = gauges{
+		leader:          metrics.newGauge("leader", "1 if this member leads and may act, else 0."),
+		token:           metrics.newGauge("token", "Fencing token of the newest leader that this member knows."),
+		mayAct:          metrics.newGauge("may_act_seconds", "For how long the leader may act without another renewal of its lock."),
+		viewAge:         metrics.newGauge("view_age_seconds", "Time since the newest completed read of the store was sent."),
+		viewRevision:    metrics.newGauge("view_revision", "Revision of the store that the view has reached."),
+		machines:        metrics.newGauge("machines", "Machines in the leader's allocation table."),
+		unconfirmed:     metrics.newGauge("machines_unconfirmed", "Machines whose worker has not shown the leader's token."),
+		listed:          metrics.newGauge("cancelled_tasks_listed", "Tasks of cancelled jobs that workers still list as not exited."),
+		oldestCancelled: metrics.newGauge("cancelled_task_oldest_seconds", "Time since the earliest confirmed cancellation among them."),
+	}
+	return metrics
+}
+
+func (metrics *Metrics) newGauge(name, help string) prometheus.Gauge {
+	gauge := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+	metrics.registry.MustRegister(gauge)
+	return gauge
+}
+
+// CountReply counts the reply to a heartbeat.
+func (metrics *Metrics) CountReply(reply HeartbeatReply) { metrics.replies[reply].Inc() }
+
+// CountCommands counts the commands of one message.
+func (metrics *Metrics) CountCommands(commands []wire.Command, channel CommandChannel, outcome CommandOutcome) {
+	for i := range commands {
+		metrics.commands.WithLabelValues(commandKind(commands[i].Action), channel.String(), outcome.String()).Inc()
+	}
+}
+
+// commandKind is a command's name in the glossary, where the protocol has another.
+func commandKind(action string) string {
+	switch action {
+	case wire.ActionStart:
+		return "start"
+	case wire.ActionStop:
+		return "stop"
+	case wire.ActionReap:
+		return "reap"
+	}
+	return "other"
+}
+
+// CountFailover counts a term that begins.
+func (metrics *Metrics) CountFailover() { metrics.taken.Inc() }
+
+// ObserveFailover records how long a part of a failover took.
+func (metrics *Metrics) ObserveFailover(part FailoverPart, duration clock.Micros) {
+	metrics.failovers[part].Observe(duration.Seconds())
+}
+
+// Encode returns all metrics as text, with the gauges of a status. It may be called on any goroutine,
+// and takes longer than the controller's own should be held up.
+func (metrics *Metrics) Encode(status *Status) ([]byte, error) {
+	metrics.mu.Lock()
+	defer metrics.mu.Unlock()
+	metrics.gauges.set(status)
+	families, err := metrics.registry.Gather()
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	var text bytes.Buffer
+	encoder := expfmt.NewEncoder(&text, textFormat)
+	for _, family := range families {
+		if err := encoder.Encode(family); err != nil {
+			return nil, fmt.Errorf("metrics: %w", err)
+		}
+	}
+	return text.Bytes(), nil
+}
+
+func (gauges *gauges) set(status *Status) {
+	gauges.leader.Set(boolValue(status.IsLeader))
+	gauges.token.Set(float64(status.Token))
+	gauges.mayAct.Set(status.MayAct.Seconds())
+	gauges.viewAge.Set(status.ViewAge.Seconds())
+	gauges.viewRevision.Set(float64(status.ViewRevision))
+	gauges.machines.Set(float64(status.Machines))
+	gauges.unconfirmed.Set(float64(status.UnconfirmedMachines))
+	gauges.listed.Set(float64(status.ListedCancelledTasks))
+	gauges.oldestCancelled.Set(status.OldestCancellation.Seconds())
+}
+
+func boolValue(isSet bool) float64 {
+	if isSet {
+		return 1
+	}
+	return 0
+}
--- a/internal/server/helpers_test.go
+++ b/internal/server/helpers_test.go
@@ -30,9 +30,12 @@
 func (app *echoApp) HandleHeartbeat(_ *wire.Heartbeat, reply *Reply) {
 	reply.SendBefore(200, []byte(`{}`), 0, app.replyDeadline)
 }
-func (app *echoApp) IsHealthy() bool                     { return true }
-func (app *echoApp) SendJobReport(reply *Reply)          { reply.Send(200, []byte(`{}`), 0) }
-func (app *echoApp) SendStandbyStatus(reply *Reply)      { reply.Send(200, []byte(`{}`), 0) }
+func (app *echoApp) IsHealthy() bool                { return true }
+func (app *echoApp) SendJobReport(reply *Reply)     { reply.Send(200, []byte(`{}`), 0) }
+func (app *echoApp) SendStandbyStatus(reply *Reply) { reply.Send(200, []byte(`{}`), 0) }
+func (app *echoApp) SendMetrics(reply *Reply) {
+	reply.SendText("text/plain; version=0.0.4", []byte("up 1\n"))
+}
 func (app *echoApp) HandlePeerHeartbeat(*peer.Heartbeat) {}
 
 // startServer returns the serve address and the peer address of a server with a connection limit.
--- a/internal/server/input.go
+++ b/internal/server/input.go
@@ -102,7 +102,9 @@
 	connection.closeAfterReply = connection.closeAfterReply || connection.parser.Buffered() > 0
 	connection.isBusy = false
 	response = response.enforceDeadline()
-	return http1.AppendResponse(output, response.status, response.body, response.retryAfter, connection.closeAfterReply)
+	return http1.AppendResponse(output, &http1.Response{
+		Status: response.status, ContentType: response.contentType, Body: response.body, RetryAfter: response.retryAfter, Close: connection.closeAfterReply,
+	})
 }
 
 // appendParseError appends the response to input that is no request.
@@ -112,6 +114,5 @@
 	if errors.As(err, &httpError) {
 		status = httpError.Status
 	}
-	const retryAfter, closeAfter = 0, true
-	return http1.AppendResponse(output, status, ErrorBody(err.Error()), retryAfter, closeAfter)
+	return http1.AppendResponse(output, &http1.Response{Status: status, Body: ErrorBody(err.Error()), Close: true})
 }
--- a/internal/server/reply.go
+++ b/internal/server/reply.go
@@ -9,10 +9,11 @@
 
 // storedResponse is a response that waits to be written.
 type storedResponse struct {
-	status     int
-	retryAfter int // seconds; 0: no header
-	body       []byte
-	deadline   clock.Micros // instant from which on a 503 is sent in its place; 0: none
+	status      int
+	retryAfter  int    // seconds; 0: no header
+	contentType string // "" is JSON
+	body        []byte
+	deadline    clock.Micros // instant from which on a 503 is sent in its place; 0: none
 }
 
 // Reply takes the response to one request. The zero Reply discards it.
@@ -40,15 +41,25 @@
 // loop takes the response, a 503 is sent in its place, since the process may have stalled meanwhile
 // and be no longer entitled to answer. A deadline of 0 is none.
 func (reply *Reply) SendBefore(status int, body []byte, retryAfter int, deadline clock.Micros) {
+	reply.store(&storedResponse{status: status, retryAfter: retryAfter, body: body, deadline: deadline})
+}
+
+// SendText sends a response of status 200 whose body is of another media type than JSON.
+func (reply *Reply) SendText(contentType string, body []byte) {
+	reply.store(&storedResponse{status: http.StatusOK, contentType: contentType, body: body})
+}
+
+// store has the event loop write a response, or passes it on.
+func (reply *Reply) store(response *storedResponse) {
 	if reply.send != nil {
-		response := (&storedResponse{status, retryAfter, body, deadline}).enforceDeadline()
+		response = response.enforceDeadline()
 		reply.send(response.status, response.body, response.retryAfter)
 		return
 	}
 	if reply.conn == nil {
 		return
 	}
-	reply.conn.setPendingReply(&storedResponse{status, retryAfter, body, deadline})
+	reply.conn.setPendingReply(response)
 	reply.conn.evioConn.Wake()
 }
 
--- a/internal/server/routes.go
+++ b/internal/server/routes.go
@@ -45,6 +45,9 @@
 	{http.MethodGet, "/ops/v1/standby", roleUser, func(server *Server, exchange exchange) {
 		server.app.SendStandbyStatus(exchange.reply)
 	}},
+	{http.MethodGet, "/metrics", roleUser, func(server *Server, exchange exchange) {
+		server.app.SendMetrics(exchange.reply)
+	}},
 }
 
 // hasJob tells whether the path of the route has a job's id.
--- a/internal/server/routes_test.go
+++ b/internal/server/routes_test.go
@@ -31,6 +31,10 @@
 		{"GET /up HTTP/1.1\r\n\r\n", 200},
 		{"POST /up HTTP/1.1\r\n\r\n", 405},
 		{"GET /nowhere HTTP/1.1\r\n\r\n", 404},
+		{"GET /metrics HTTP/1.1\r\n\r\n", 200},
+		{"GET /metrics?name[]=up HTTP/1.1\r\n\r\n", 200},
+		{"POST /metrics HTTP/1.1\r\n\r\n", 405},
+		{"GET /metrics/x HTTP/1.1\r\n\r\n", 404},
 		{"GET /api/jobs/req-000001 HTTP/1.1\r\n\r\n", 200},
 		{"GET /api/jobs/x HTTP/1.1\r\n\r\n", 404},
 		{"DELETE /api/jobs/req-000001 HTTP/1.1\r\n\r\n", 405},
@@ -143,3 +147,18 @@
 		t.Fatalf("%d requests were processed", conn.wakeCount)
 	}
 }
+
+// Metrics are of another media type than everything else.
+func TestMetricsAreText(t *testing.T) {
+	address, _ := startServer(t, &echoApp{}, 100)
+	for path, want := range map[string]string{"/metrics": "text/plain; version=0.0.4", "/up": "application/json"} {
+		response, err := http.Get("http://" + address + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if got := response.Header.Get("Content-Type"); got != want || response.StatusCode != 200 {
+			t.Errorf("%s: status %d, type %q", path, response.StatusCode, got)
+		}
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,6 +27,7 @@
 	IsHealthy() bool
 	SendJobReport(reply *Reply)
 	SendStandbyStatus(reply *Reply)
+	SendMetrics(reply *Reply)
 	HandlePeerHeartbeat(heartbeat *peer.Heartbeat)
 }
 
