--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -29,6 +29,8 @@
 	pace        tickPace
 	hints       hintSender
 	logs        logLimits
+	// reconciliation measures the failover's last part.
+	reconciliation reconciliationTimes
 	// standby streams the allocation table to replicas, nil if that is turned off.
 	standby *decisionStream
 	backgroundWork
@@ -160,6 +162,7 @@
 	term.updateDeadlines()
 	term.renewals = environment.newLeaseRenewals(now)
 	term.restore(now, clock.WallTime())
+	term.reconciliation.machines = term.tracker.UnreconciledCount()
 	term.requestPlan()
 	environment.Failover.isReplicaUsed = allocationConfig.MayHaveStarted != nil
 	term.recordRebuilt()
@@ -205,6 +208,7 @@
 	}
 	term.streamDecisions(now)
 	term.recordFirstDecision(now)
+	term.recordReconciliation(now)
 	term.sendCommandRequests(now)
 	term.sendDeletes(now)
 	term.persistence.cleanup.tick(now)
