leader: a worker that doesn't show the token by itself is asked a second after the reply

Cause: after a failover a leader waited for the worker's second heartbeat before it commanded a machine. A worker hastens that one at most once in half a lease, so that after a second failover in that time it came with the next regular heartbeat.

Change: a second after the reply to a heartbeat under an older token the leader sends the worker a command request, which has the stops that are due and no starts or reaps; its answer shows the token. Machines wait in one queue in the order in which they are due, and half of the requests that may be in flight is left to commands. A worker that confirms by itself, as after a single failover, is not asked. The random histories send such requests too, and check every reply for the stops of cancelled tasks (invariant 7).

Without the request, its bound, its delay or its stops a test fails.

--- a/internal/allocation/actions_test.go
+++ b/internal/allocation/actions_test.go
@@ -69,6 +69,9 @@
 		return
 	}
 	request, starts := sim.tracker.BuildCommandRequest(machine, sim.now)
+	if request == nil {
+		request = sim.tracker.BuildConfirmationRequest(machine, sim.now)
+	}
 	if request == nil {
 		return
 	}
--- a/internal/allocation/command_request.go
+++ b/internal/allocation/command_request.go
@@ -35,6 +35,22 @@
 	return &wire.CommandRequest{FencingToken: tracker.currentToken, Incarnation: machine.Incarnation, Commands: commands}, starts
 }
 
+// BuildConfirmationRequest builds a request to a worker that has not confirmed the token: its answer
+// does. It has the stops that RenewalStops returns and nothing else. It returns nil if the token is
+// confirmed, if no heartbeat has told the worker's address, and if a request to it is in flight.
+func (tracker *Tracker) BuildConfirmationRequest(machine *Machine, now clock.Micros) *wire.CommandRequest {
+	if machine.hasCommandInFlight || machine.TokenConfirmed || machine.Address == "" {
+		return nil
+	}
+	machine.hasCommandInFlight = true
+	for _, placement := range machine.placements {
+		if placement.NeedsStop() {
+			placement.stopSentAt = now
+		}
+	}
+	return &wire.CommandRequest{FencingToken: tracker.currentToken, Incarnation: machine.Incarnation, Commands: tracker.RenewalStops(machine)}
+}
+
 // CommandResult is the outcome of a command request.
 type CommandResult uint8
 
--- a/internal/allocation/history_test.go
+++ b/internal/allocation/history_test.go
@@ -11,7 +11,7 @@
 // Random histories of messages, failures and failovers keep the rules of the protocol, and the
 // tracker's sums agree with its placements after each step.
 func TestRandomHistories(t *testing.T) {
-	total, gangs, replicaFailovers := 0, 0, 0
+	total, gangs, replicaFailovers, stops := 0, 0, 0, 0
 	for seed := uint64(1); seed <= 4000; seed++ {
 		sim := newSimulation(t, seed)
 		actions := sim.actions()
@@ -24,9 +24,10 @@
 		total += sim.startCount
 		gangs += sim.completeGangCount
 		replicaFailovers += sim.replicaFailoverCount
+		stops += sim.stopCount
 	}
-	t.Logf("%d starts, %d gangs complete, %d failovers with a follower's table", total, gangs, replicaFailovers)
-	if total == 0 || gangs < 200 || replicaFailovers < 1000 {
+	t.Logf("%d starts, %d gangs complete, %d failovers with a follower's table, %d cancelled tasks listed", total, gangs, replicaFailovers, stops)
+	if total == 0 || gangs < 200 || replicaFailovers < 1000 || stops < 500 {
 		t.Fatal("the histories show too little")
 	}
 }
--- a/internal/allocation/simulation_test.go
+++ b/internal/allocation/simulation_test.go
@@ -63,6 +63,7 @@
 	startCount           int
 	completeGangCount    int // gangs whose tasks all started
 	replicaFailoverCount int // failovers that began with a follower's table
+	stopCount            int // tasks of cancelled jobs that heartbeats listed
 }
 
 // follower is the allocation table of a standby that is told of each decision at once.
@@ -194,6 +195,7 @@
 	}
 	sim.persistCompletions()
 	commands := sim.tracker.HeartbeatCommands(machine, sim.now)
+	sim.checkStops(heartbeat, commands)
 	if fate == replyIsLost {
 		return
 	}
@@ -203,6 +205,24 @@
 	}
 }
 
+// checkStops checks that the reply to a heartbeat stops each listed task of a cancelled job.
+func (sim *simulation) checkStops(heartbeat *wire.Heartbeat, commands []wire.Command) {
+	for i := range heartbeat.Tasks {
+		task := &heartbeat.Tasks[i]
+		job, _, _ := wire.ParseTaskID(task.TaskID)
+		if !sim.cancelled[job] || task.State == wire.TaskExited {
+			continue
+		}
+		sim.stopCount++
+		isStopped := slices.ContainsFunc(commands, func(command wire.Command) bool {
+			return command.Action == wire.ActionStop && command.TaskID == task.TaskID && command.Attempt == task.Attempt
+		})
+		if !isStopped {
+			sim.fatal("a lease is renewed with %s on %s, which is cancelled, and no stop", task.TaskID, heartbeat.MachineID)
+		}
+	}
+}
+
 // deliverReply delivers the reply to a worker's last heartbeat, unless it is too late.
 func (sim *simulation) deliverReply(worker *fakeWorker) {
 	incarnation := worker.incarnation
--- a/internal/leader/command_requests.go
+++ b/internal/leader/command_requests.go
@@ -46,13 +46,16 @@
 
 // sendCommandRequest sends what is due to one machine.
 func (term *Term) sendCommandRequest(machine *allocation.Machine, machineInfo *machineState, now clock.Micros) {
-	message, starts := term.tracker.BuildCommandRequest(machine, now)
-	if message == nil {
-		return
+	if message, starts := term.tracker.BuildCommandRequest(machine, now); message != nil {
+		term.postCommandRequest(machine, machineInfo, message, starts)
 	}
+}
+
+// postCommandRequest sends a request that the tracker has built, and takes what becomes of it.
+func (term *Term) postCommandRequest(machine *allocation.Machine, machineInfo *machineState, message *wire.CommandRequest, starts []*allocation.Placement) {
 	body, err := message.MarshalJSON()
 	if err != nil {
-		term.tracker.FinishCommandRequest(machine, starts, allocation.CommandNotSent, now)
+		term.tracker.FinishCommandRequest(machine, starts, allocation.CommandNotSent, clock.Now())
 		return
 	}
 	name, host, deadline := machine.Name, term.workerHost(machine, machineInfo), term.mayActUntil
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -106,6 +106,7 @@
 	probing                 probing
 	persistence             persistence
 	commandRequestsInFlight int
+	confirmations           tokenConfirmations
 }
 
 // machineListing is the state of reading the cloud's list of machines.
@@ -210,6 +211,7 @@
 	term.recordFirstDecision(now)
 	term.recordReconciliation(now)
 	term.sendCommandRequests(now)
+	term.sendConfirmationRequests(now)
 	term.sendDeletes(now)
 	term.persistence.cleanup.tick(now)
 	term.persistence.archive.tick(now)
--- a/internal/leader/worker_heartbeats.go
+++ b/internal/leader/worker_heartbeats.go
@@ -96,6 +96,7 @@
 		return term.tracker.RenewalStops(machine)
 	}
 	term.processTaskEvents(now)
+	term.awaitConfirmation(machine, now)
 	commands := term.tracker.HeartbeatCommands(machine, now)
 	term.requestPlan()
 	return commands
