sim: a soak of short-lived leaders, cuts, deaf and mute machines, and cancellations

Change: seeded histories in simulated time against the fakes. Leaders end after one reply to a machine whose jobs are cancelled, or after random times, all at once or alone, or are cut off or refused; copies of heartbeats come late, machines hang, hear nothing or reach nobody, in three deployments. The checker holds all rules; jobs that were not cancelled have to end or run.

--- a/internal/sim/generated_history_test.go
+++ b/internal/sim/generated_history_test.go
@@ -88,7 +88,11 @@
 	if len(history.jobs) == 0 {
 		return
 	}
-	id := history.jobs[history.random.IntN(len(history.jobs))].ID
+	history.cancelJob(history.jobs[history.random.IntN(len(history.jobs))].ID)
+}
+
+// cancelJob requests the cancellation of a job until it is confirmed, while the history goes on.
+func (history *generatedHistory) cancelJob(id string) {
 	history.cancelRequested[id] = true
 	history.retryInBackground(func(member string) bool {
 		response := history.Cancel(member, id)
--- /dev/null
+++ b/internal/sim/soak_test.go
@@ -0,0 +1,196 @@
+package sim
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"firwood.dev/firwood/internal/fake"
+	"firwood.dev/firwood/wire"
+)
+
+// soakHistories, soakSeed and soakTime say what TestSoakOfShortLivedLeaders plays: so many histories with
+// the seeds from soakSeed on, or as many as begin within soakTime of real time if that is set.
+var (
+	soakHistories = flag.Int("soak-histories", 24, "how many histories TestSoakOfShortLivedLeaders plays")
+	soakSeed      = flag.Uint64("soak-seed", 1, "seed of the first history of TestSoakOfShortLivedLeaders")
+	soakTime      = flag.Duration("soak-time", 0, "for how long TestSoakOfShortLivedLeaders begins new histories, in place of -soak-histories")
+)
+
+// soakWorkerTimes are the deployments that a soak plays in turn.
+var soakWorkerTimes = []WorkerTimes{
+	{LeaseTTL: 36 * time.Second, CancellationGrace: 66 * time.Second, HeartbeatInterval: 6 * time.Second},
+	{LeaseTTL: 14 * time.Second, CancellationGrace: 44 * time.Second, HeartbeatInterval: 2 * time.Second},
+	{LeaseTTL: 26500 * time.Millisecond, CancellationGrace: 56500 * time.Millisecond, HeartbeatInterval: 5 * time.Second},
+}
+
+// soakHistory is a random chain of short-lived leaders.
+type soakHistory struct {
+	*generatedHistory
+	heartbeatCopies [][]byte // of one or two leaders ago
+}
+
+// In random chains of short-lived leaders, cuts, deaf and mute machines, cancellations and late copies no
+// rule of the protocol is violated, and every job that was not cancelled ends or runs.
+func TestSoakOfShortLivedLeaders(t *testing.T) {
+	began := time.Now()
+	goesOn := func(i int) bool {
+		if *soakTime > 0 {
+			return time.Since(began) < *soakTime
+		}
+		return i < *soakHistories
+	}
+	played := 0
+	for ; goesOn(played); played++ {
+		seed := *soakSeed + uint64(played)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playSoakHistory(t, seed) })
+	}
+	t.Logf("%d histories from seed %d on in %v", played, *soakSeed, time.Since(began).Round(time.Second))
+}
+
+func playSoakHistory(t *testing.T, seed uint64) {
+	options := Options{TaskDuration: 100 * time.Second, Workers: soakWorkerTimes[seed%uint64(len(soakWorkerTimes))], Logger: controllerLogger()}
+	Run(t, options, func(cluster *Cluster) {
+		history := &soakHistory{generatedHistory: &generatedHistory{
+			Cluster: cluster, random: rand.New(rand.NewPCG(seed, 11)), cancelRequested: map[string]bool{}, cancelledWithDependency: map[string]bool{}, answered: make(chan struct{}, 1000),
+		}}
+		for range 6 {
+			history.submitRandomJob()
+		}
+		time.Sleep(history.randomDuration(8, 25))
+		for range 2 {
+			if history.random.IntN(2) == 0 {
+				history.playChain()
+			} else {
+				history.playChainAgainstMachine()
+			}
+			history.submitRandomJob()
+			time.Sleep(history.randomDuration(0, 20))
+		}
+		history.waitForCompletion()
+	})
+}
+
+// playChain has the leader go, users cancel jobs while there is none, leaders come and go for as long as a
+// cancelled task may run on past a lease, and most machines lose their controllers in the end.
+func (history *soakHistory) playChain() {
+	workers := history.options.Workers
+	history.loseLeader()
+	for range 1 + history.random.IntN(3) {
+		history.cancelRandomJob()
+		time.Sleep(history.randomDuration(0, 1))
+	}
+	chainEndsAt := time.Now().Add(history.randomDuration(0.5, 1.3*(workers.CancellationGrace-workers.LeaseTTL).Seconds()))
+	for time.Now().Before(chainEndsAt) {
+		history.waitForShortLife()
+		history.replayCopies()
+		history.loseLeader()
+		if history.random.IntN(4) == 0 {
+			history.cancelRandomJob()
+		}
+	}
+	fault := fake.MachineCommandsLost
+	if history.random.IntN(2) == 0 {
+		fault = fake.MachineHeartbeatsLost
+	}
+	for _, machine := range history.Cloud.MachineNames() {
+		if history.random.IntN(10) > 0 {
+			history.injectFault(history.randomDuration(5, 1.5*workers.LeaseTTL.Seconds()), history.machineFault(machine, fault))
+		}
+	}
+	time.Sleep(history.randomDuration(1, workers.LeaseTTL.Seconds()))
+}
+
+// playChainAgainstMachine has all controllers end again and again, each time right after a leader has
+// replied to one machine, whose jobs are cancelled as the first leader ends. In the end that machine
+// hears nothing for longer than a lease.
+func (history *soakHistory) playChainAgainstMachine() {
+	running := history.Cloud.RunningTasks()
+	if len(running) == 0 {
+		return
+	}
+	machine, _, _ := strings.Cut(history.pickName(running), " ")
+	history.crashAll()
+	for _, line := range running {
+		if host, task, _ := strings.Cut(line, " "); host == machine {
+			id, _, _ := wire.ParseTaskID(task)
+			if !history.cancelRequested[id] {
+				history.cancelJob(id)
+			}
+		}
+	}
+	workers := history.options.Workers
+	chainEndsAt := time.Now().Add(history.randomDuration(1, 1.3) * time.Duration((workers.CancellationGrace - workers.LeaseTTL).Seconds()))
+	for time.Now().Before(chainEndsAt) {
+		history.waitForReply(machine)
+		history.replayCopies()
+		history.crashAll()
+	}
+	fault := []fake.MachineFault{fake.MachineCommandsLost, fake.MachineHeartbeatsLost}[history.random.IntN(2)]
+	history.injectFault(history.randomDuration(1, 1.5)*time.Duration(workers.LeaseTTL.Seconds()), history.machineFault(machine, fault))
+	time.Sleep(workers.LeaseTTL)
+}
+
+// crashAll ends all controllers; each is back within a second and a half.
+func (history *soakHistory) crashAll() {
+	for _, member := range history.Members() {
+		history.injectFault(history.randomDuration(0.1, 1.5), history.crashFault(member))
+	}
+}
+
+// waitForReply waits until some leader has replied to a machine that had not seen its token.
+func (history *soakHistory) waitForReply(machine string) {
+	before := history.Cloud.SeenToken(machine)
+	for waited := time.Duration(0); waited < 15*time.Second && history.Cloud.SeenToken(machine) == before; waited += pollInterval {
+		time.Sleep(pollInterval)
+	}
+}
+
+// waitForShortLife lets a leader live until it has replied to one machine, or for some seconds.
+func (history *soakHistory) waitForShortLife() {
+	machines := history.Cloud.MachineNames()
+	if len(machines) == 0 || history.random.IntN(3) == 0 {
+		time.Sleep(history.randomDuration(0.1, 7))
+		return
+	}
+	history.waitForReply(history.pickName(machines))
+}
+
+// replayCopies delivers copies of earlier heartbeats, at times, and takes new ones.
+func (history *soakHistory) replayCopies() {
+	switch history.random.IntN(4) {
+	case 0:
+		history.ReplayHeartbeats(history.heartbeatCopies)
+	case 1:
+		history.heartbeatCopies = history.Cloud.LastHeartbeats()
+	}
+}
+
+// loseLeader ends all controllers or the leader, cuts it off, or takes a machine or the store from it.
+func (history *soakHistory) loseLeader() {
+	member := history.Leader()
+	if member == "" {
+		member = history.pickName(history.Members())
+	}
+	switch history.random.IntN(8) {
+	case 0, 1, 2:
+		for _, other := range history.Members() {
+			history.injectFault(history.randomDuration(0.1, 3), history.crashFault(other))
+		}
+	case 3, 4:
+		history.injectFault(history.randomDuration(0.1, 3), history.crashFault(member))
+	case 5:
+		history.injectFault(history.randomDuration(1, 12), history.isolation(member))
+	case 6:
+		history.injectFault(history.randomDuration(1, 8), history.storeFault(member, fake.StoreRequestsRejected))
+	case 7:
+		if machines := history.Cloud.MachineNames(); len(machines) > 0 {
+			faults := []fake.MachineFault{fake.MachineHanging, fake.MachineCommandsLost, fake.MachineHeartbeatsLost, fake.MachineSlow}
+			history.injectFault(history.randomDuration(1, 30), history.machineFault(history.pickName(machines), faults[history.random.IntN(len(faults))]))
+		}
+		history.injectFault(history.randomDuration(0.1, 3), history.crashFault(member))
+	}
+}
