leader: the log names what the stop of an unknown job's task waits for

Cause: a task of an unknown job that a probe lists was said to wait for the token, though its stop goes with replies and with the request that asks for the token. Change: the line says that it waits for the worker's next heartbeat.

--- a/internal/leader/cancelled_task_log.go
+++ b/internal/leader/cancelled_task_log.go
@@ -11,8 +11,9 @@
 	stopInReply       = "heartbeat reply"
 	stopInRequest     = "command request"
 	stopNeedsAddress  = "none: the worker's address is unknown"
-	stopNeedsToken    = "none before the worker's next heartbeat: the token is not confirmed"
+	stopNeedsToken    = "none before the worker confirms the token"
 	stopNeedsRequest  = "none before the worker's next heartbeat: command requests are held back"
+	stopNeedsReply    = "none before the worker's next heartbeat"
 	stopTaskIsSaving  = "none: the task saves its progress"
 	stopIsSentAlready = "command request, sent already"
 )
@@ -26,7 +27,7 @@
 		term.logListed(heartbeat, "worker lists a cancelled task", now, "task", placement.TaskID(), "cancelled_s", since.Seconds(), "stop_channel", channel)
 	}
 	for _, task := range term.tracker.ListedUnknown {
-		channel := stopNeedsToken
+		channel := stopNeedsReply
 		if isReply {
 			channel = stopInReply
 		}
