leader: the first reply leaves tasks of jobs alone that are blocked by an unknown dependency

Cause: on reading. A job whose dependency was evicted from the view, and is not looked up yet as a term begins, is left out of the allocation table though an earlier leader may have started it. Since stops go out with the first reply, its tasks would be stopped half a second or more before they were.

Change: RenewalStops and the reply to an unknown machine pass over tasks of jobs that the view has as active.

A test of the token's confirmation failed once: the leader that it restarts may win the lock again within a second, and the test waited for another one.

--- a/internal/allocation/renewal_stops.go
+++ b/internal/allocation/renewal_stops.go
@@ -12,7 +12,7 @@
 func (tracker *Tracker) RenewalStops(machine *Machine) []wire.Command {
 	var commands []wire.Command
 	for i := range machine.exitedAttempts {
-		if exited := &machine.exitedAttempts[i]; exited.isRunning {
+		if exited := &machine.exitedAttempts[i]; exited.isRunning && !tracker.mayBeActive(exited.taskID) {
 			commands = append(commands, stopCommand(exited.taskID, exited.attempt, 0))
 		}
 	}
@@ -25,6 +25,12 @@
 	return commands
 }
 
+// mayBeActive tells whether the job of a task, which the tracker lacks, may be active all the same.
+func (tracker *Tracker) mayBeActive(taskID string) bool {
+	jobID, _, ok := wire.ParseTaskID(taskID)
+	return ok && tracker.cfg.MayBeActive != nil && tracker.cfg.MayBeActive(jobID)
+}
+
 // NeedsStop tells whether the worker lists the task, which has to end, and doesn't save it at present.
 func (placement *Placement) NeedsStop() bool {
 	isSaving := placement.ReportedState == wire.TaskCheckpointing && placement.stopGrace != 0
--- a/internal/allocation/tracker.go
+++ b/internal/allocation/tracker.go
@@ -20,6 +20,9 @@
 	// MayHaveStarted, if not nil, tells whether an earlier leader may have started a task. If nil,
 	// any task of a job with recorded starts may have been started.
 	MayHaveStarted func(task string) bool
+	// MayBeActive, if not nil, tells whether a job that the tracker lacks may be active all the same:
+	// its dependencies aren't all known yet.
+	MayBeActive func(jobID string) bool
 }
 
 // ExitEvent tells how a placement ended.
--- a/internal/leader/recovery.go
+++ b/internal/leader/recovery.go
@@ -25,9 +25,18 @@
 	return allocation.Config{
 		FencingToken: token, LeaseTTL: clock.FromSeconds(workers.LeaseSeconds), Quotas: environment.Teams,
 		CancelFenceWindow: clock.FromSeconds(workers.CancelTimeoutSeconds) / 2,
+		MayBeActive:       environment.mayBeActive,
 	}
 }
 
+// mayBeActive tells whether a job has not ended, as far as the view knows. One that the allocation table
+// lacks is blocked, perhaps only until a dependency that was evicted from the view is looked up: an
+// earlier leader may have started it.
+func (environment *Environment) mayBeActive(jobID string) bool {
+	record := environment.View.Jobs[jobID]
+	return record != nil && !record.HasEnded()
+}
+
 // schedulerSettings translates the tuning file; its durations are in seconds.
 func schedulerSettings(tuning *config.Tuning) scheduler.Settings {
 	return scheduler.Settings{
--- a/internal/leader/renewal_stops_test.go
+++ b/internal/leader/renewal_stops_test.go
@@ -78,6 +78,20 @@
 	}
 }
 
+// A job that the table lacks since a dependency of it is not known yet may have been started by an
+// earlier leader: the first reply leaves its tasks alone, on known and unknown machines.
+func TestTasksOfBlockedJobsAreNotStoppedAtOnce(t *testing.T) {
+	term := newTermWithCancelledJob(t)
+	spec := &wire.Job{ID: "req-000002", Kind: wire.KindArray, Priority: wire.PriorityNormal, TaskCount: 1, CPUs: 1, Team: "t", DependsOn: []string{"req-000009"}}
+	term.environment.View.Jobs[spec.ID] = &storeview.Job{Job: records.Job{Spec: spec}}
+	for _, machine := range []string{"i-1", "i-9"} {
+		status, response := replyTo(t, term, heartbeatWith(machine, "req-000002/0", 5, 4))
+		if status != 200 || len(response.Commands) != 0 {
+			t.Errorf("%s: status %d, commands %+v", machine, status, response.Commands)
+		}
+	}
+}
+
 // A heartbeat that waited for a read is answered by what the read has brought: a cancellation among it.
 func TestDeferredHeartbeatIsAnsweredWithNewStops(t *testing.T) {
 	term := newTestTerm(t, "i-1")
--- a/internal/leader/worker_heartbeats.go
+++ b/internal/leader/worker_heartbeats.go
@@ -57,8 +57,10 @@
 
 // mustEnd tells whether tasks of a job have to end: it is cancelled, or over, or unknown.
 func (term *Term) mustEnd(jobID string) bool {
-	job := term.tracker.Jobs[jobID]
-	return job == nil || job.Cancelled
+	if job := term.tracker.Jobs[jobID]; job != nil {
+		return job.Cancelled
+	}
+	return !term.environment.mayBeActive(jobID)
 }
 
 // replyUnavailable replies 503, to be retried after a second.
--- a/internal/sim/token_confirmation_test.go
+++ b/internal/sim/token_confirmation_test.go
@@ -20,6 +20,16 @@
 	})
 }
 
+// failOverToOther ends the leader for as long as no other member leads: one that is back at once may win
+// the lock again.
+func (cluster *Cluster) failOverToOther() {
+	cluster.t.Helper()
+	before := cluster.Leader()
+	cluster.Crash(before)
+	cluster.WaitForNewLeader(before, 30*time.Second)
+	cluster.Start(before)
+}
+
 // Seen: a leader had replied to a machine, and might command it only 8.7 s later, at its next heartbeat.
 //
 // How: two leaders ended within half a lease. A worker reports a higher token at once only once in that
@@ -36,7 +46,7 @@
 		machine := cluster.MachinesRunning(JobID(1))[0]
 		for range 2 {
 			before := cluster.Cloud.SeenToken(machine)
-			cluster.failOver()
+			cluster.failOverToOther()
 			cluster.WaitFor(machine+" has seen the new leader's token", time.Minute, func() bool { return cluster.Cloud.SeenToken(machine) > before })
 			cluster.waitForConfirmedTokens(2 * time.Second)
 		}
@@ -89,7 +99,7 @@
 				fleet.submitJobs(machines)
 				fleet.waitForAllRunning("after the boot of the fleet", 3*time.Minute)
 				for range 2 {
-					cluster.failOver()
+					cluster.failOverToOther()
 					began := time.Now()
 					cluster.waitForConfirmedTokens(2 * options.Workers.HeartbeatInterval)
 					t.Logf("all machines have confirmed the token after %v", time.Since(began).Round(100*time.Millisecond))
