allocation: an unanswered question for the token doesn't make a machine unreachable

Cause: a machine that leaves a command request unanswered gets no tasks for a lease. The new question for the token was counted so as well.

Change: only requests that carry commands to a confirmed machine count.

--- a/internal/allocation/command_request.go
+++ b/internal/allocation/command_request.go
@@ -42,7 +42,7 @@
 	if machine.hasCommandInFlight || machine.TokenConfirmed || machine.Address == "" {
 		return nil
 	}
-	machine.hasCommandInFlight = true
+	machine.hasCommandInFlight, machine.isConfirmationRequest = true, true
 	for _, placement := range machine.placements {
 		if placement.NeedsStop() {
 			placement.stopSentAt = now
@@ -83,11 +83,17 @@
 // FinishCommandRequest records the outcome of a command request. A heartbeat in the answer has to be
 // given to RecordCommandHeartbeat afterwards.
 func (tracker *Tracker) FinishCommandRequest(machine *Machine, starts []*Placement, result CommandResult, now clock.Micros) {
-	machine.hasCommandInFlight = false
+	isConfirmation := machine.isConfirmationRequest
+	machine.hasCommandInFlight, machine.isConfirmationRequest = false, false
 	switch result {
 	case CommandExecuted:
 		machine.UnreachableUntil = 0
 	case CommandOutcomeUnknown:
+		if isConfirmation {
+			// It gets no tasks before it confirms the token. Added after machines that lost answers for a
+			// minute as the leader changed were left without tasks for a while after they were back.
+			break
+		}
 		// If nothing at all reaches the worker, its lease and its incarnation end by then.
 		machine.UnreachableUntil = now + tracker.cfg.LeaseTTL
 	}
--- a/internal/allocation/machine.go
+++ b/internal/allocation/machine.go
@@ -107,6 +107,7 @@
 	isQueued              bool // it is in dispatchQueue
 	isAwaitingReplication bool // it is in awaitingReplication
 	hasCommandInFlight    bool // a command request has no outcome yet
+	isConfirmationRequest bool // that request is from BuildConfirmationRequest
 }
 
 // attemptRecords decide when the worker may be told to forget (reap) an attempt (invariant 2).
--- a/internal/leader/token_confirmation_test.go
+++ b/internal/leader/token_confirmation_test.go
@@ -99,3 +99,20 @@
 		}
 	}
 }
+
+// A machine that leaves the question for the token unanswered isn't taken for unreachable by that: it
+// gets tasks as soon as it confirms. One that leaves commands unanswered is.
+func TestUnansweredConfirmationLeavesMachineReachable(t *testing.T) {
+	term := newTermWithCancelledJob(t)
+	machine := term.tracker.Machines["i-1"]
+	replyTo(t, term, heartbeatWith("i-1", cancelledTask, 5, 4))
+	for i := range 2 {
+		if i == 0 && term.tracker.BuildConfirmationRequest(machine, clock.Now()) == nil {
+			t.Fatal("no request")
+		}
+		term.handleCommandResponse(machine, term.machines["i-1"], nil, allocation.CommandOutcomeUnknown, nil)
+		if isUnreachable := machine.UnreachableUntil > 0; isUnreachable != (i == 1) {
+			t.Fatalf("request %d: unreachable is %v", i, isUnreachable)
+		}
+	}
+}
