--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -89,27 +89,37 @@
 	os.Exit(code)
 }
 
-// nodeHost returns a loopback address on which the ports of a controller are free. Each run takes addresses of its own, so
-// that no other socket takes a port while a controller is down.
-func nodeHost(i int) string {
-	for k := 0; k < 200; k++ {
+// nodeAddresses returns the two loopback addresses of a controller. If possible each controller of each run has a host of
+// its own, so that no other socket takes a port while the controller is down.
+func nodeAddresses(i int) (serveOn, peerBind string) {
+	for k := range 200 {
 		n := os.Getpid()*7 + k*131
 		host := fmt.Sprintf("127.%d.%d.%d", 1+n%250, 1+n/250%250, 10+i)
-		free := true
-		for _, port := range []string{":8080", ":8081"} {
-			l, err := net.Listen("tcp4", host+port)
-			if err != nil {
-				free = false
-				break
-			}
-			l.Close()
-		}
-		if free {
-			return host
+		if isFree(host+":8080") && isFree(host+":8081") {
+			return host + ":8080", host + ":8081"
 		}
 	}
-	fatal(2, "no free loopback address")
-	return ""
+	a, b := anyAddress(), anyAddress()
+	return a.Addr().String(), b.Addr().String()
+}
+
+func isFree(address string) bool {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return false
+	}
+	l.Close()
+	return true
+}
+
+// anyAddress takes a free port of 127.0.0.1 and closes it again a little later.
+func anyAddress() net.Listener {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		fatal(2, "%v", err)
+	}
+	time.AfterFunc(100*time.Millisecond, func() { l.Close() })
+	return l
 }
 
 func newSite(rec *Record, program []string, o Options, trouble bool) *Site {
@@ -127,12 +137,13 @@
 	}
 	cloud, state := serve(w), serve(s.store)
 	for i, zone := range o.NodeZones {
-		host := nodeHost(i)
-		n := &Node{name: fmt.Sprintf("rigger-%d", i), zone: zone, serveOn: host + ":8080", peerBind: host + ":8081"}
+		serveOn, peerBind := nodeAddresses(i)
+		n := &Node{name: fmt.Sprintf("rigger-%d", i), zone: zone, serveOn: serveOn, peerBind: peerBind}
 		s.nodes = append(s.nodes, n)
 		w.nodes = append(w.nodes, n.name)
 		w.addresses[n.name] = n.serveOn
 	}
+	time.Sleep(200 * time.Millisecond)
 	for _, n := range s.nodes {
 		others := []any{}
 		for _, m := range s.nodes {
