--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -154,12 +154,12 @@
 	}
 	rec.add("== one-task jobs, four a second, a quarter of them cancelled")
 	all(others, 20, func(i int) {
-		time.Sleep(time.Duration(i%20) * 250 * time.Millisecond)
+		time.Sleep(time.Duration(i%20) * 265 * time.Millisecond)
 		s.submit(single(1000+i, "gather", 1, 1), i)
 		if i%4 == 0 {
 			s.withdraw(name(1000+i), i, 10*time.Second)
 		}
-		time.Sleep(time.Duration(19-i%20) * 250 * time.Millisecond)
+		time.Sleep(time.Duration(19-i%20) * 265 * time.Millisecond)
 	})
 	s.waitFor(name(1)+" completes", 60*time.Second, func() bool { return s.world.dones[name(1)] == 1 })
 	for i := range 10 {
