Keep started jobs in the rebuilt table while their dependencies are looked up

Cause: Term.restoreJobs left out jobs that the dependency graph calls blocked. A job counts as blocked also while its finished dependency isn't cached and is still being looked up, though the view has the record of the job's starts. Its tasks were thus not unconfirmed (invariant 4), and were placed anew once the look-up was back.

Why this works: each job with recorded starts is in the table before FinishRecovery, so that its tasks are unconfirmed whatever is known of its dependencies. A DependencyState says what is known. Until all are done no task of the job is placed or started and its end isn't written. Nothing new is stored.

Related paths, same cause: a failover without restart to a follower that looks up a dependency; cancellation and a second failover meanwhile; with and without replicas; arrays, services and gangs.

The fake store can delay reads of single keys, for the tests.

--- a/internal/allocation/adoption.go
+++ b/internal/allocation/adoption.go
@@ -36,6 +36,10 @@
 			job.GangAttempt = taskReport.Attempt
 		}
 	}
+	if job.Dependencies == DependenciesUnmet {
+		job.GangAborting = job.IsGang()
+		placement.isStopping = true
+	}
 	if placement.Orphaned || job.Cancelled || job.GangAborting {
 		placement.isStopping = true
 	}
--- a/internal/allocation/doc.go
+++ b/internal/allocation/doc.go
@@ -30,7 +30,8 @@
 //  4. A task that an earlier leader may have started stays unconfirmed until every machine that
 //     may have existed then is reconciled, or a heartbeat made under this leader's token lists the
 //     task (an earlier heartbeat may be a late copy). Unconfirmed tasks count as running: they
-//     aren't started, and the checks of quotas, zones and spread include them.
+//     aren't started, and the checks of quotas, zones and spread include them. This holds for every job
+//     with recorded starts, also while it isn't known whether the job's dependencies are done.
 //  5. A completion is durable in the key-value store before the worker is told to forget the task.
 //  6. Machine type, zone, spot, quota and the places of the job's other tasks are checked again
 //     when a start is put into a message.
--- a/internal/allocation/eligibility.go
+++ b/internal/allocation/eligibility.go
@@ -48,7 +48,7 @@
 // Unlike in IsEligible, the placement itself is already included in the counts.
 func (tracker *Tracker) canStart(placement *Placement) bool {
 	job, machine := placement.Job, placement.Machine
-	if job.Cancelled || job.GangAborting || placement.isStopping || !job.StartsRecorded || !machine.RecordedInStore {
+	if job.Cancelled || !job.IsReleased() || job.GangAborting || placement.isStopping || !job.StartsRecorded || !machine.RecordedInStore {
 		return false
 	}
 	if !isStaticallyEligible(job, machine) {
--- a/internal/allocation/history_test.go
+++ b/internal/allocation/history_test.go
@@ -11,12 +11,13 @@
 // Random histories of messages, failures and failovers keep the invariants of the protocol, and the
 // tracker's counts and sums agree with its placements after each step.
 func TestRandomHistories(t *testing.T) {
-	starts, completeGangs, replicaFailovers, cancelledListings := 0, 0, 0, 0
+	starts, completeGangs, replicaFailovers, cancelledListings, unreleased := 0, 0, 0, 0, 0
 	for seed := uint64(1); seed <= 4000; seed++ {
 		sim := newSimulation(t, seed)
 		actions := sim.actions()
 		for step := 0; step < 300; step++ {
 			actions[sim.rng.IntN(len(actions))]()
+			sim.releaseSomeJob()
 			sim.checkFollower()
 			sim.checkMachines()
 			sim.checkJobs()
@@ -25,17 +26,18 @@
 		completeGangs += sim.completeGangCount
 		replicaFailovers += sim.replicaFailoverCount
 		cancelledListings += sim.cancelledListingCount
+		unreleased += sim.unreleasedCount
 	}
-	t.Logf("%d starts, %d complete gangs, %d failovers with a follower's table, %d listings of cancelled tasks", starts, completeGangs, replicaFailovers, cancelledListings)
-	if starts == 0 || completeGangs < 200 || replicaFailovers < 1000 || cancelledListings < 500 {
-		t.Fatal("the histories cover too little, want at least 1 start, 200 complete gangs, 1000 failovers with a follower's table and 500 listings of cancelled tasks")
+	t.Logf("%d starts, %d complete gangs, %d failovers with a follower's table, %d listings of cancelled tasks, %d unreleased jobs", starts, completeGangs, replicaFailovers, cancelledListings, unreleased)
+	if starts == 0 || completeGangs < 200 || replicaFailovers < 1000 || cancelledListings < 500 || unreleased < 500 {
+		t.Fatal("the histories cover too little, want at least 1 start, 200 complete gangs, 1000 failovers with a follower's table, 500 listings of cancelled tasks and 500 unreleased jobs")
 	}
 }
 
 func newSimulation(t *testing.T, seed uint64) *simulation {
 	t.Helper()
 	sim := &simulation{
-		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: clock.Second, cpuLimit: 5000,
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), dependencyRNG: rand.New(rand.NewPCG(seed, 2)), now: clock.Second, cpuLimit: 5000,
 		simulatedJobs: simulatedJobs{specs: map[string]*wire.Job{}, startsRecorded: map[string]bool{}, doneTasks: map[string]map[int]bool{}, cancelled: map[string]bool{}},
 	}
 	for i := 0; i < 3; i++ {
@@ -95,6 +97,13 @@
 	for id, job := range sim.tracker.Jobs {
 		waiting, unconfirmed := 0, 0
 		for i := range job.Tasks {
+			placement := job.Tasks[i].Placement
+			if !job.IsReleased() && placement != nil && !placement.Adopted {
+				sim.fatal("job %s: task %d was placed while the job's dependencies were %s", id, i, job.Dependencies)
+			}
+			if job.Dependencies == DependenciesUnmet && placement != nil && !placement.isStopping {
+				sim.fatal("job %s: task %d is not being stopped although a dependency is unmet", id, i)
+			}
 			if job.Tasks[i].State == TaskWaiting {
 				waiting++
 			}
--- a/internal/allocation/job.go
+++ b/internal/allocation/job.go
@@ -48,6 +48,35 @@
 	CheckpointedSeconds float64
 }
 
+// DependencyState is what the leader knows of the jobs that a job depends on.
+type DependencyState uint8
+
+// States of a job's dependencies.
+const (
+	// DependenciesDone means that all of them are done, or that there are none. Only then are the job's tasks
+	// started, and only then does its end become durable.
+	DependenciesDone DependencyState = iota
+	// DependenciesUnknown means that of some dependency no record has been read yet, and that all others are
+	// done. An earlier leader knew the record if it has started the job, so tasks that run stay.
+	DependenciesUnknown
+	// DependenciesUnmet means that a dependency has not ended or is cancelled. A version that knows no
+	// dependencies may have started the job's tasks; they have to stop.
+	DependenciesUnmet
+)
+
+// String returns the name that log lines and test messages use.
+func (state DependencyState) String() string {
+	switch state {
+	case DependenciesDone:
+		return "done"
+	case DependenciesUnknown:
+		return "unknown"
+	case DependenciesUnmet:
+		return "unmet"
+	}
+	return fmt.Sprintf("DependencyState(%d)", uint8(state))
+}
+
 // Job is an accepted job that isn't over, or that may still have tasks on machines. Its fields are
 // grouped by concern.
 type Job struct {
@@ -66,6 +95,8 @@
 	// StartsRecorded is true if the key-value store records that tasks of the job may have been
 	// started. No task is placed before that.
 	StartsRecorded bool
+	// Dependencies is the state of the job's dependencies. Tracker.SetDependencyState changes it.
+	Dependencies DependencyState
 	// StartedByAging is true if the job was started because it had waited too long.
 	StartedByAging bool
 	// StartedCount is the number of current placements whose task a worker has listed with its image
@@ -189,15 +220,21 @@
 // MaxTasksPerZone returns how many tasks may be in one zone if the job spreads over zones.
 func (job *Job) MaxTasksPerZone() int { return (len(job.Tasks) + 1) / 2 }
 
+// IsReleased reports whether the job may start and end: all of its dependencies are done.
+func (job *Job) IsReleased() bool { return job.Dependencies == DependenciesDone }
+
+// HasUnpersistedCompletions reports whether a task is done whose completion isn't durable yet.
+func (job *Job) HasUnpersistedCompletions() bool { return job.durableCount != job.doneCount }
+
 // NeedsPersisting reports whether the job has something to write or to clean up: a completion is not
 // in the key-value store yet, or all tasks are done.
 func (job *Job) NeedsPersisting() bool {
-	return job.durableCount != job.doneCount || job.doneCount == len(job.Tasks)
+	return job.HasUnpersistedCompletions() || job.doneCount == len(job.Tasks)
 }
 
 // UnpersistedCompletions returns the indices of done tasks whose completion isn't durable yet.
 func (job *Job) UnpersistedCompletions() []int {
-	if job.durableCount == job.doneCount {
+	if !job.HasUnpersistedCompletions() {
 		return nil
 	}
 	var taskIndices []int
--- a/internal/allocation/job_tracking.go
+++ b/internal/allocation/job_tracking.go
@@ -38,6 +38,15 @@
 	return job
 }
 
+// SetDependencyState records what is known of the jobs that a job depends on. If a dependency is unmet, it
+// stops the job's tasks without grace; those that are listed later are stopped when they are adopted.
+func (tracker *Tracker) SetDependencyState(job *Job, state DependencyState) {
+	job.Dependencies = state
+	if state == DependenciesUnmet {
+		tracker.StopJob(job, 0)
+	}
+}
+
 // Cancel records the durable cancellation of a job, and stops its tasks without grace. If the
 // cancellation was confirmed before now, the caller corrects CancelledAt afterwards.
 func (tracker *Tracker) Cancel(job *Job, now clock.Micros) {
--- a/internal/allocation/placement.go
+++ b/internal/allocation/placement.go
@@ -149,7 +149,7 @@
 // isPlaceable reports whether a task waits and can't be running anywhere, and its job may be started.
 func (job *Job) isPlaceable(taskIndex int) bool {
 	task := &job.Tasks[taskIndex]
-	return task.State == TaskWaiting && !task.Unconfirmed && task.Placement == nil && !job.Cancelled && job.StartsRecorded
+	return task.State == TaskWaiting && !task.Unconfirmed && task.Placement == nil && !job.Cancelled && job.StartsRecorded && job.IsReleased()
 }
 
 // canUseAttempt reports whether a task may be placed under an attempt. All tasks of a gang share one
--- a/internal/allocation/simulation_test.go
+++ b/internal/allocation/simulation_test.go
@@ -27,13 +27,15 @@
 }
 
 type simulation struct {
-	t       *testing.T
-	seed    uint64
-	rng     *rand.Rand
-	now     clock.Micros
-	workers []*fakeWorker
-	token   uint64
-	tracker *Tracker // of the current leader
+	t    *testing.T
+	seed uint64
+	rng  *rand.Rand
+	// dependencyRNG draws what a new leader knows of the jobs that a job depends on.
+	dependencyRNG *rand.Rand
+	now           clock.Micros
+	workers       []*fakeWorker
+	token         uint64
+	tracker       *Tracker // of the current leader
 	// delegatedUntil is until when other controllers may renew workers' leases.
 	delegatedUntil clock.Micros
 	follower       *follower // the standby that follows the current leader
@@ -64,6 +66,7 @@
 	startCount            int // number of task starts
 	completeGangCount     int // number of gangs whose tasks have all started
 	replicaFailoverCount  int // number of failovers that used a follower's table
+	unreleasedCount       int // number of jobs with recorded starts of which a new leader didn't know the dependencies to be done
 	cancelledListingCount int // listings of tasks of cancelled jobs in heartbeats
 }
 
@@ -267,6 +270,10 @@
 		job := sim.tracker.AddJob(sim.specs[id], 0, sim.now, sim.startsRecorded[id], func(i int) bool { return sim.doneTasks[id][i] })
 		if sim.cancelled[id] {
 			sim.tracker.Cancel(job, sim.now)
+		} else if sim.startsRecorded[id] && sim.dependencyRNG.IntN(3) == 0 {
+			state := []DependencyState{DependenciesUnknown, DependenciesUnknown, DependenciesUnmet}[sim.dependencyRNG.IntN(3)]
+			sim.tracker.SetDependencyState(job, state)
+			sim.unreleasedCount++
 		}
 	}
 	// A delegate may still hold a grant from the previous leader.
@@ -275,6 +282,14 @@
 	sim.tracker.FinishRecovery()
 }
 
+// releaseSomeJob tells the leader now and then that the dependencies of a job are done.
+func (sim *simulation) releaseSomeJob() {
+	job := sim.tracker.Jobs[sim.jobIDs[sim.dependencyRNG.IntN(len(sim.jobIDs))]]
+	if job != nil && sim.dependencyRNG.IntN(4) == 0 {
+		sim.tracker.SetDependencyState(job, DependenciesDone)
+	}
+}
+
 func (sim *simulation) machine(worker *fakeWorker) *Machine { return sim.tracker.Machines[worker.name] }
 
 // persistCompletions makes all completions durable in about a third of its calls, as the controller does
--- a/internal/controller/dependencies_test.go
+++ b/internal/controller/dependencies_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"firwood.dev/firwood/internal/allocation"
 	"firwood.dev/firwood/internal/client"
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/fake"
@@ -98,7 +99,7 @@
 		if !isComplete || len(dependencies) != 300 || dependencies[299] != "req-000299" {
 			t.Fatalf("read %d dependencies, want 300; complete %v, want true", len(dependencies), isComplete)
 		}
-		if !leader.IsBlocked(controller.view, controller.dependencyGraph, "req-000500", controller.view.Jobs["req-000500"]) {
+		if leader.DependencyState(controller.view, controller.dependencyGraph, "req-000500", controller.view.Jobs["req-000500"]) == allocation.DependenciesDone {
 			t.Fatal("the job is not blocked by its dependencies")
 		}
 	}
--- a/internal/dag/graph.go
+++ b/internal/dag/graph.go
@@ -215,6 +215,19 @@
 	return jobNode != nil && jobNode.unfinishedDependencies > 0
 }
 
+// HasUnmetDependency reports whether a job has a dependency that is known not to be done: its record has been
+// seen, and it is unfinished or cancelled.
+func (graph *Graph) HasUnmetDependency(id string) bool {
+	jobNode := graph.nodes[id]
+	if jobNode == nil {
+		return false
+	}
+	return slices.ContainsFunc(jobNode.dependencies, func(dependency string) bool {
+		dependencyNode := graph.nodes[dependency]
+		return dependencyNode != nil && (dependencyNode.stage == stageUnfinished || dependencyNode.stage == stageCancelled)
+	})
+}
+
 // IsCancelled reports whether a job is cancelled, by its own record or because of a dependency.
 func (graph *Graph) IsCancelled(id string) bool {
 	jobNode := graph.nodes[id]
--- a/internal/fake/store_faults.go
+++ b/internal/fake/store_faults.go
@@ -53,6 +53,7 @@
 	isDown        bool                  // whether the store is in an outage, for every caller
 	byCaller      map[string]StoreFault // faults for single callers, by host
 	delayedPrefix string                // prefix of keys whose writes are delayed for every caller; none if empty
+	readDelay     time.Duration         // time that each read of a single key takes, for every caller
 }
 
 // writeDelay is the delay with which delayed transactions are applied.
@@ -74,6 +75,14 @@
 	store.faults.delayedPrefix = prefix
 }
 
+// SetReadDelay makes each later read of a single key take a duration, for every caller. Reads of pages of
+// keys and watches are not delayed. 0 ends the delay.
+func (store *Store) SetReadDelay(delay time.Duration) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.faults.readDelay = delay
+}
+
 // isOutOfService reports whether the store rejects every request of a caller, because of an outage or of
 // StoreRequestsRejected. The caller of the method holds the lock.
 func (store *Store) isOutOfService(caller string) bool {
--- a/internal/fake/store_http.go
+++ b/internal/fake/store_http.go
@@ -27,6 +27,7 @@
 	case path == "/kv":
 		store.serveKeyPage(w, r.URL.Query())
 	case strings.HasPrefix(path, "/kv/"):
+		store.waitForReadDelay()
 		store.serveKey(w, strings.TrimPrefix(path, "/kv/"))
 	case path == "/txn":
 		store.serveTransaction(w, r, store.faults.byCaller[caller])
@@ -65,6 +66,18 @@
 	writeJSON(w, 200, page)
 }
 
+// waitForReadDelay waits as long as a read of a single key takes. The lock is held when waitForReadDelay is
+// called and when it returns, but not while it waits.
+func (store *Store) waitForReadDelay() {
+	delay := store.faults.readDelay
+	if delay == 0 {
+		return
+	}
+	store.mu.Unlock()
+	time.Sleep(delay)
+	store.mu.Lock()
+}
+
 // serveKey answers with the value of a key, or with 404 and the store's revision if the key does not exist.
 func (store *Store) serveKey(w http.ResponseWriter, key string) {
 	stored := store.keys[key]
--- a/internal/leader/cleanup.go
+++ b/internal/leader/cleanup.go
@@ -145,7 +145,9 @@
 		return
 	}
 	end := storeview.NewEndedJob(record, wire.JobCancelled, clock.WallTime())
-	end.Spec = nil // the job never started, so a new leader need not look for its tasks
+	if !term.IsTracking(id) {
+		end.Spec = nil // the job never started, so a new leader need not look for its tasks
+	}
 	value, err := end.MarshalJSON()
 	if err != nil {
 		return
--- a/internal/leader/controller_calls.go
+++ b/internal/leader/controller_calls.go
@@ -33,8 +33,11 @@
 }
 
 // AddImpliedCancellations queues writes of the end of jobs that were cancelled because a job that they
-// depend on was cancelled.
+// depend on was cancelled, and stops their tasks, if a version that knows no dependencies started any.
 func (term *Term) AddImpliedCancellations(ids ...string) {
+	for _, id := range ids {
+		term.stopIfTracked(id)
+	}
 	term.persistence.cleanup.addImpliedCancellations(ids...)
 }
 
--- a/internal/leader/dependencies.go
+++ b/internal/leader/dependencies.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"firwood.dev/firwood/internal/allocation"
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/dag"
 	"firwood.dev/firwood/internal/storeview"
@@ -17,11 +18,19 @@
 	return urgency
 }
 
-// IsBlocked reports whether a job that has not ended must wait for jobs that it depends on. That is
-// also so while the view doesn't have all parts of the job's dependencies.
-func IsBlocked(view *storeview.View, graph *dag.Graph, id string, record *storeview.Job) bool {
+// DependencyState returns what is known of the jobs that a job depends on. The job's record has no end of its
+// own. While the view doesn't have all parts of the job's dependencies, their state is unknown.
+func DependencyState(view *storeview.View, graph *dag.Graph, id string, record *storeview.Job) allocation.DependencyState {
 	_, isComplete := view.DependenciesOf(id, record)
-	return !isComplete || graph.IsBlocked(id)
+	switch {
+	case record.IsCancelledByDependency:
+		return allocation.DependenciesUnmet
+	case isComplete && !graph.IsBlocked(id):
+		return allocation.DependenciesDone
+	case graph.HasUnmetDependency(id):
+		return allocation.DependenciesUnmet
+	}
+	return allocation.DependenciesUnknown
 }
 
 // UpdateUrgency sets the urgency of a tracked job from its record and from the jobs that depend on it.
--- a/internal/leader/job_persistence.go
+++ b/internal/leader/job_persistence.go
@@ -44,9 +44,9 @@
 			if term.tracker.IsVacated(job) {
 				term.removeJob(id, job)
 			}
-		case job.IsComplete():
+		case job.IsComplete() && job.IsReleased():
 			term.persistence.jobEnds.write(id, job, jobInfo)
-		case now-jobInfo.lastProgressWriteAt >= progressInterval:
+		case job.HasUnpersistedCompletions() && now-jobInfo.lastProgressWriteAt >= progressInterval:
 			due = append(due, id)
 		}
 	}
--- a/internal/leader/recovery.go
+++ b/internal/leader/recovery.go
@@ -30,8 +30,7 @@
 }
 
 // mayBeActive reports whether a job has not ended, as far as the view shows. If the allocation table lacks
-// such a job, the job is blocked, perhaps only until a dependency that was evicted from the view is looked
-// up; an earlier leader may have started its tasks.
+// such a job, the job is blocked, and no leader has recorded starts of it.
 func (environment *Environment) mayBeActive(jobID string) bool {
 	record := environment.View.Jobs[jobID]
 	return record != nil && !record.HasEnded()
@@ -155,19 +154,26 @@
 	}
 }
 
-// restoreJobs adds the jobs that have not ended and are not blocked by dependencies, and the cancelled
-// jobs that may still have tasks. It returns the jobs that are cancelled because a dependency is, and
-// whose own records don't say so yet.
+// restoreJobs adds the jobs that have not ended and are not blocked by dependencies, the blocked jobs that
+// may have tasks, and the cancelled jobs that may still have tasks. It returns the jobs that are cancelled
+// because a dependency is, and whose own records don't say so yet.
+//
+// Tasks of a job with recorded starts may be on machines, whatever is known of its dependencies: those that
+// were evicted from the view are looked up while the term is already under way, and a version that knows no
+// dependencies starts blocked jobs too. When such jobs were left out until their dependencies were known,
+// their tasks were started again while they ran (docs/incidents/dependencies-not-cached.md).
 func (term *Term) restoreJobs(now clock.Micros) (impliedCancellations []string) {
 	view, graph := term.environment.View, term.environment.Graph
 	for id, record := range view.Jobs {
 		hasProgress := len(view.Progress[id]) > 0
 		switch {
-		case record.IsCancelledByDependency:
-			impliedCancellations = append(impliedCancellations, id)
-		case !record.HasEnded():
-			if !IsBlocked(view, graph, id, record) {
-				term.addJob(id, record, hasProgress)
+		case record.State == "":
+			if record.IsCancelledByDependency {
+				impliedCancellations = append(impliedCancellations, id)
+			}
+			if dependencies := DependencyState(view, graph, id, record); hasProgress || dependencies == allocation.DependenciesDone {
+				job := term.addJob(id, record, hasProgress)
+				term.tracker.SetDependencyState(job, dependencies)
 			}
 		case record.Spec != nil: // cancelled, and its tasks may still be running
 			job := term.addJob(id, record, hasProgress)
@@ -183,7 +189,7 @@
 	failover := term.environment.Failover
 	failover.rebuiltAt, failover.unconfirmedTasks = clock.Now(), term.unconfirmedCount()
 	term.environment.Log.Info("allocation table rebuilt", "token", term.token, "jobs", len(term.tracker.Jobs), "machines", len(term.tracker.Machines), "reconciled", term.tracker.IsReconciled(),
-		"unconfirmed", failover.unconfirmedTasks, "replica_used", failover.isReplicaUsed,
+		"unconfirmed", failover.unconfirmedTasks, "unreleased", term.unreleasedCount(), "replica_used", failover.isReplicaUsed,
 		"read_revision", term.environment.View.Revision, "read_age_s", term.viewAge(failover.rebuiltAt).Seconds(), "may_act_s", (term.host.EntitledUntil() - failover.rebuiltAt).Seconds())
 	term.environment.Metrics.CountFailover()
 	if failover.LeaderHeartbeatAt != 0 {
--- a/internal/leader/tracked_jobs.go
+++ b/internal/leader/tracked_jobs.go
@@ -21,7 +21,9 @@
 		return cmp.Or(cmp.Compare(a.ReleasedAt, b.ReleasedAt), cmp.Compare(a.Spec.ID, b.Spec.ID))
 	})
 	for _, job := range jobs {
-		term.scheduler.ObserveArrival(job, now-max(wallTime-job.ReleasedAt, 0))
+		if job.Dependencies != allocation.DependenciesUnmet {
+			term.scheduler.ObserveArrival(job, now-max(wallTime-job.ReleasedAt, 0))
+		}
 	}
 }
 
@@ -58,11 +60,14 @@
 	term.requestPlan()
 	switch {
 	case record.IsCancelledByDependency:
+		term.stopIfTracked(id)
 	case !record.HasEnded() && job == nil && term.jobs[id] == nil:
-		if IsBlocked(term.environment.View, term.environment.Graph, id, record) {
+		if DependencyState(term.environment.View, term.environment.Graph, id, record) != allocation.DependenciesDone {
 			return
 		}
 		term.scheduler.ObserveArrival(term.addJob(id, record, false), now)
+	case !record.HasEnded() && job != nil:
+		term.releaseIfDependenciesDone(id, record, job, now)
 	case record.State == wire.JobCancelled && job != nil:
 		term.cancelJob(job, record, now)
 	case record.HasEnded() && term.jobs[id] != nil:
@@ -70,6 +75,29 @@
 	}
 }
 
+// releaseIfDependenciesDone lets a job start and end that the allocation table has since the beginning of the
+// term because tasks of it may be on machines, once all of its dependencies are known to be done.
+func (term *Term) releaseIfDependenciesDone(id string, record *storeview.Job, job *allocation.Job, now clock.Micros) {
+	environment := term.environment
+	if job.IsReleased() || DependencyState(environment.View, environment.Graph, id, record) != allocation.DependenciesDone {
+		return
+	}
+	wasUnmet := job.Dependencies == allocation.DependenciesUnmet
+	term.tracker.SetDependencyState(job, allocation.DependenciesDone)
+	job.ReleasedAt = environment.Graph.ReleasedAt(id, clock.Micros(record.SubmittedAt))
+	if wasUnmet { // otherwise replayArrivals has observed the arrival
+		term.scheduler.ObserveArrival(job, now)
+	}
+}
+
+// stopIfTracked stops the tasks of a job that is cancelled because a job that it depends on is. The allocation
+// table has such a job only if a version that knows no dependencies may have started it.
+func (term *Term) stopIfTracked(id string) {
+	if job := term.tracker.Jobs[id]; job != nil {
+		term.tracker.SetDependencyState(job, allocation.DependenciesUnmet)
+	}
+}
+
 // cancelJob applies a durable cancellation. The grace period of the tasks starts at the end time in the
 // record, since this leader may have read the record late, for instance while the key-value store refused
 // its requests.
@@ -79,6 +107,18 @@
 	term.jobs[job.Spec.ID].isEndDurable = true
 }
 
+// unreleasedCount returns the number of jobs in the allocation table whose dependencies are not known to be
+// done.
+func (term *Term) unreleasedCount() int {
+	count := 0
+	for _, job := range term.tracker.Jobs {
+		if !job.IsReleased() {
+			count++
+		}
+	}
+	return count
+}
+
 // unconfirmedCount returns the number of tasks that may be running on any machine because an earlier
 // leader may have started them.
 func (term *Term) unconfirmedCount() int {
--- a/internal/leader/worker_heartbeats.go
+++ b/internal/leader/worker_heartbeats.go
@@ -55,10 +55,11 @@
 	reply.SendBefore(200, body, 0, term.replyDeadline(commands))
 }
 
-// needsStop reports whether the tasks of a job have to end: the job is cancelled, has ended or is unknown.
+// needsStop reports whether the tasks of a job have to end: the job is cancelled, has ended or is unknown, or
+// a dependency of it is unmet.
 func (term *Term) needsStop(jobID string) bool {
 	if job := term.tracker.Jobs[jobID]; job != nil {
-		return job.Cancelled
+		return job.Cancelled || job.Dependencies == allocation.DependenciesUnmet
 	}
 	return !term.environment.mayBeActive(jobID)
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -49,12 +49,12 @@
 	return queue
 }
 
-// isWaiting reports whether a job has tasks that may need to be started. Unconfirmed tasks do not
-// count, since they may still be running. A gang is started as a whole, so it does not wait while any
+// isWaiting reports whether a job has tasks that may need to be started. A job whose dependencies are
+// not known to be done has none. Unconfirmed tasks do not count, since they may still be running. A gang is started as a whole, so it does not wait while any
 // of its tasks is unconfirmed. A gang with active tasks waits only if it has never been complete: it
 // then gets replacements for the tasks that it has lost.
 func isWaiting(job *allocation.Job) bool {
-	if job.Cancelled || job.WaitingCount() == 0 || job.ActiveCount() == 0 && job.WaitingCount() == job.UnconfirmedCount() {
+	if job.Cancelled || !job.IsReleased() || job.WaitingCount() == 0 || job.ActiveCount() == 0 && job.WaitingCount() == job.UnconfirmedCount() {
 		return false
 	}
 	return !job.IsGang() || job.UnconfirmedCount() == 0 && (job.ActiveCount() == 0 || job.CanReplaceLostTasks())
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -25,7 +25,8 @@
 func (scheduler *Scheduler) quotaEntitlements(tracker *allocation.Tracker) map[*allocation.Job]bool {
 	byTeam := map[string][]*allocation.Job{}
 	for _, job := range tracker.Jobs {
-		if quota := scheduler.Teams[job.Spec.Team]; !job.Cancelled && !job.IsComplete() && (quota.GuaranteedMilliCPU > 0 || quota.GuaranteedMilliGPU > 0) {
+		isUnfinished := !job.Cancelled && !job.IsComplete() && job.Dependencies != allocation.DependenciesUnmet
+		if quota := scheduler.Teams[job.Spec.Team]; isUnfinished && (quota.GuaranteedMilliCPU > 0 || quota.GuaranteedMilliGPU > 0) {
 			byTeam[job.Spec.Team] = append(byTeam[job.Spec.Team], job)
 		}
 	}
--- a/internal/scheduler/scaleout.go
+++ b/internal/scheduler/scaleout.go
@@ -131,7 +131,7 @@
 func (cycle *schedulingCycle) possiblyLostReplicas() []*queuedJob {
 	var out []*queuedJob
 	for _, job := range cycle.tracker.Jobs {
-		if !job.IsService() || job.Cancelled || job.Priority != 0 {
+		if !job.IsService() || job.Cancelled || job.Dependencies == allocation.DependenciesUnmet || job.Priority != 0 {
 			continue
 		}
 		if lostCount := cycle.possiblyLostCount(job); lostCount > 0 {
