Let tasks of a gang with equal time and cost share a slot of a plan

Cause: appendMachineSlots listed a slot for every task that an empty machine could hold. For a task that needs nothing, tasksPerMachine is math.MaxInt32; amounts below half a thousandth are rounded to nothing. The number of the gang's tasks didn't bound the list.

Not only nothing: 100,000 tasks of 0.001 CPUs on 300 machines ran a plan out of memory as well.

Why this works: consecutive slots of a machine that have the same times and the same cost are one slot with a count, so their number follows from the machines and their placements, and a machine gets no more than the tasks that the gang lacks.

--- a/internal/allocation/resources.go
+++ b/internal/allocation/resources.go
@@ -32,6 +32,21 @@
 	return a.MilliCPU <= b.MilliCPU && a.MilliGPU <= b.MilliGPU && a.MemoryMB <= b.MemoryMB
 }
 
+// CountWithin returns how many times the amounts fit into a total, at most limit. It returns limit if all
+// amounts are 0 and the total is not negative.
+func (a Resources) CountWithin(total Resources, limit int) int {
+	if !a.IsWithin(total) {
+		return 0
+	}
+	count := int64(limit)
+	for _, dimension := range [][2]int64{{a.MilliCPU, total.MilliCPU}, {a.MilliGPU, total.MilliGPU}, {a.MemoryMB, total.MemoryMB}} {
+		if dimension[0] > 0 {
+			count = min(count, dimension[1]/dimension[0])
+		}
+	}
+	return int(count)
+}
+
 // TeamQuota is a team's guarantee and limit, in thousandths. A maximum of 0 means that there is no limit.
 type TeamQuota struct {
 	GuaranteedMilliCPU, GuaranteedMilliGPU int64
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -26,7 +26,7 @@
 			selected = append(selected, slot)
 		}
 	}
-	if len(selected) < taskCount {
+	if countSlotTasks(selected) < taskCount {
 		return nil, 0
 	}
 	slices.SortFunc(selected, func(a, b gangSlot) int {
@@ -34,18 +34,22 @@
 	})
 	zones := map[string]int{}
 	chosen := selected[:0]
+	remaining := taskCount
 	for _, slot := range selected {
-		if len(chosen) == taskCount {
-			break
+		zone := slot.machine.Zone
+		slot.taskCount = min(slot.taskCount, remaining)
+		if job.Spec.SpreadZones {
+			slot.taskCount = min(slot.taskCount, job.MaxTasksPerZone()-job.CountInZone(zone)-zones[zone])
 		}
-		if job.Spec.SpreadZones && job.CountInZone(slot.machine.Zone)+zones[slot.machine.Zone] >= job.MaxTasksPerZone() {
+		if slot.taskCount <= 0 {
 			continue
 		}
-		zones[slot.machine.Zone]++
-		loss += slot.costIfReadyBy(readyBy)
+		zones[zone] += slot.taskCount
+		remaining -= slot.taskCount
+		loss += float64(slot.taskCount) * slot.costIfReadyBy(readyBy)
 		chosen = append(chosen, slot)
 	}
-	if len(chosen) < taskCount {
+	if remaining > 0 {
 		return nil, 0
 	}
 	return chosen, loss
@@ -123,7 +127,7 @@
 	cost := math.Inf(1)
 	for _, zone := range zones {
 		slots := cycle.gangSlots(queued, zone)
-		if len(slots) < len(queued.readyTasks) {
+		if countSlotTasks(slots) < len(queued.readyTasks) {
 			continue
 		}
 		if selected, readyBy, selectedCost := cycle.chooseSlots(queued, slots); selectedCost < cost {
@@ -137,13 +141,13 @@
 // free in time. No machines are requested for the gang while it has a reservation.
 func (cycle *schedulingCycle) reserveSlots(queued *queuedJob, slots []gangSlot, readyBy float64) {
 	queued.hasReservation = true
-	slotsByMachine := map[*allocation.Machine]int{}
+	tasksByMachine := map[*allocation.Machine]int{}
 	for _, slot := range slots {
-		slotsByMachine[slot.machine]++
+		tasksByMachine[slot.machine] += slot.taskCount
 	}
 	for _, slot := range slots {
 		if !cycle.gangReserved[slot.machine.SortIndex] {
-			cycle.reserveForGang(queued, slot.machine, queued.job.Request.Times(slotsByMachine[slot.machine]), readyBy)
+			cycle.reserveForGang(queued, slot.machine, queued.job.Request.Times(tasksByMachine[slot.machine]), readyBy)
 		}
 	}
 }
@@ -181,19 +185,23 @@
 	job := queued.job
 	if !job.StartsRecorded {
 		for _, slot := range slots {
-			cycle.reserve(slot.machine, job.Request)
+			cycle.reserve(slot.machine, job.Request.Times(slot.taskCount))
 		}
-		return len(slots)
+		return len(queued.readyTasks)
 	}
 	attempt := job.GangAttempt
 	if attempt == 0 {
 		attempt = cycle.tracker.NextAttempt()
 	}
-	for index, slot := range slots {
-		if cycle.tracker.PlaceTask(job, queued.readyTasks[index], slot.machine, attempt, cycle.now) != nil {
-			cycle.tracker.StopJob(job, 0) // the gang can't start whole, so stop the tasks placed in this attempt
-			return 0
+	unplaced := queued.readyTasks
+	for _, slot := range slots {
+		for _, taskIndex := range unplaced[:slot.taskCount] {
+			if cycle.tracker.PlaceTask(job, taskIndex, slot.machine, attempt, cycle.now) != nil {
+				cycle.tracker.StopJob(job, 0) // the gang can't start whole, so stop the tasks placed in this attempt
+				return 0
+			}
 		}
+		unplaced = unplaced[slot.taskCount:]
 	}
-	return len(slots)
+	return len(queued.readyTasks)
 }
--- a/internal/scheduler/gangslots.go
+++ b/internal/scheduler/gangslots.go
@@ -8,19 +8,20 @@
 	"firwood.dev/firwood/internal/allocation"
 )
 
-// gangSlot is room for one task of a gang on a machine. Its times are in seconds from now and include
-// the image fetch.
+// gangSlot is room for tasks of a gang on a machine, of which all have the same times and the same cost. Its
+// times are in seconds from now and include the image fetch.
 type gangSlot struct {
 	machine                 *allocation.Machine
+	taskCount               int     // how many tasks the slot has room for, at least 1
 	isFree                  bool    // whether the room is free now
 	readyInSeconds          float64 // when the slot is ready if the current tasks end by themselves; +Inf if never
 	preemptedReadyInSeconds float64 // when the slot is ready if work is stopped for it; +Inf if never
-	preemptionLoss          float64 // work lost by stopping, in seconds of a machine's work
+	preemptionLoss          float64 // work lost by stopping for each task, in seconds of a machine's work
 	score                   float64 // placement score of the machine
 }
 
-// costIfReadyBy returns the cost of having the slot ready by the deadline, in seconds of a machine's
-// work; +Inf if the slot can't be ready by then.
+// costIfReadyBy returns the cost for each task of having the slot ready by the deadline, in seconds of a
+// machine's work; +Inf if the slot can't be ready by then.
 func (slot *gangSlot) costIfReadyBy(deadline float64) float64 {
 	switch {
 	case slot.readyInSeconds <= deadline:
@@ -52,6 +53,19 @@
 	return slots
 }
 
+// countSlotTasks returns how many tasks slots have room for.
+func countSlotTasks(slots []gangSlot) int {
+	count := 0
+	for i := range slots {
+		count += slots[i].taskCount
+	}
+	return count
+}
+
+// appendMachineSlots appends the slots of one machine, with room for at most the tasks that the gang lacks. Tasks
+// of the same cost share a slot, so the number of slots follows from the machine's placements. When each task
+// had a slot, those of a gang that needs nothing, or little, took all memory
+// (docs/incidents/gangs-that-need-nothing.md).
 func (cycle *schedulingCycle) appendMachineSlots(slots []gangSlot, queued *queuedJob, machine *allocation.Machine) []gangSlot {
 	free := cycle.freeResources(machine)
 	search := slotSearch{
@@ -59,12 +73,14 @@
 		fetchSeconds: cycle.imageReadySeconds(queued.job, machine), score: cycle.placementScore(queued.job, machine),
 		freeIfDrained: free, freeIfPreempted: free,
 	}
-	for range cycle.scheduler.tasksPerMachine(queued.job.Request, machine.Type) {
-		slot, ok := search.next()
+	remaining := min(cycle.scheduler.tasksPerMachine(queued.job.Request, machine.Type), len(queued.readyTasks))
+	for remaining > 0 {
+		slot, ok := search.next(remaining)
 		if !ok {
 			break
 		}
 		slots = append(slots, slot)
+		remaining -= slot.taskCount
 	}
 	return slots
 }
@@ -88,8 +104,8 @@
 	loss            float64                 // work lost by all stops counted so far, in seconds of a machine's work
 }
 
-// next returns the next slot, or false if the machine has no further slot.
-func (search *slotSearch) next() (gangSlot, bool) {
+// next returns the next slot, with room for at most limit tasks, or false if the machine has no further slot.
+func (search *slotSearch) next(limit int) (gangSlot, bool) {
 	request := search.queued.job.Request
 	slot := gangSlot{machine: search.machine, isFree: request.IsWithin(search.freeIfDrained), readyInSeconds: math.Inf(1), preemptedReadyInSeconds: math.Inf(1), score: search.score}
 	if !slot.isFree {
@@ -104,10 +120,28 @@
 	if math.IsInf(min(slot.readyInSeconds, slot.preemptedReadyInSeconds), 1) {
 		return gangSlot{}, false
 	}
-	search.freeIfDrained, search.freeIfPreempted = search.freeIfDrained.Sub(request), search.freeIfPreempted.Sub(request)
+	slot.taskCount = search.countEqual(&slot, limit)
+	slotRequest := request.Times(slot.taskCount)
+	search.freeIfDrained, search.freeIfPreempted = search.freeIfDrained.Sub(slotRequest), search.freeIfPreempted.Sub(slotRequest)
 	return slot, true
 }
 
+// countEqual returns how many tasks, from 1 to limit, the room found for one task has room for at the same times
+// and the same cost.
+func (search *slotSearch) countEqual(slot *gangSlot, limit int) int {
+	request := search.queued.job.Request
+	isPreemptionPossible := !math.IsInf(slot.preemptedReadyInSeconds, 1)
+	switch {
+	case slot.isFree && isPreemptionPossible:
+		return request.CountWithin(search.freeIfPreempted, request.CountWithin(search.freeIfDrained, limit))
+	case slot.isFree:
+		return request.CountWithin(search.freeIfDrained, limit)
+	case math.IsInf(slot.readyInSeconds, 1):
+		return request.CountWithin(search.freeIfPreempted, limit)
+	}
+	return 1
+}
+
 // listPlacements lists the placements that end by themselves and those that may be stopped. It does
 // so at most once, and not at all for a machine with enough free room.
 func (search *slotSearch) listPlacements() {
--- /dev/null
+++ b/internal/scheduler/gangslots_test.go
@@ -0,0 +1,146 @@
+package scheduler
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"firwood.dev/firwood/internal/allocation"
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/wire"
+)
+
+// smallestMemoryLimitBytes is the least memory that a deployment gives a controller.
+const smallestMemoryLimitBytes = 125 << 20
+
+// allocatedBytes returns how many bytes a function allocates.
+func allocatedBytes(run func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	run()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// Guards against leaders that run out of memory one after another: a plan lists a slot for each task that could
+// fit on a machine, which for a gang that needs nothing, or little, are billions.
+func TestPlanOfGangWithTinyNeedsFitsMemory(t *testing.T) {
+	const machineCount = 300
+	for _, spec := range []wire.Job{
+		{TaskCount: 4},
+		{TaskCount: wire.MaxTasks},
+		{TaskCount: wire.MaxTasks, CPUs: 0.0004}, // rounded to nothing
+		{TaskCount: wire.MaxTasks, CPUs: 0.001},
+		{TaskCount: wire.MaxTasks, MemoryGB: 0.001, SpreadZones: true},
+		{TaskCount: wire.MaxTasks, GPUs: 0.001, SingleZone: true},
+	} {
+		fixture, _ := newFullGPUFixture(t, 2, wire.Job{EstimatedRunSeconds: 1000, Priority: wire.PriorityLow})
+		for i := range machineCount {
+			fixture.addMachine(fmt.Sprintf("i-1%03d", i), "big", []string{"x", "y", "z"}[i%3], false)
+		}
+		spec.ID, spec.Team, spec.Kind, spec.Priority = "req-000002", "b", wire.KindGang, wire.PriorityNormal
+		gang := fixture.tracker.AddJob(&spec, fixture.now, fixture.now, false, nil)
+		var decision Decision
+		if allocated := allocatedBytes(func() { decision = fixture.plan() }); allocated > smallestMemoryLimitBytes {
+			t.Errorf("gang of %d x %v: a plan allocates %d MB, want at most %d", spec.TaskCount, gang.Request, allocated>>20, smallestMemoryLimitBytes>>20)
+		}
+		if !slices.Contains(decision.RecordStarts, gang) {
+			t.Errorf("gang of %d x %v: the plan finds no room for it, want room", spec.TaskCount, gang.Request)
+		}
+	}
+}
+
+// Guards against a gang whose tasks share slots and are then placed on too few machines or counted wrongly.
+func TestGangThatNeedsNothingIsPlaced(t *testing.T) {
+	for _, spread := range []bool{false, true} {
+		fixture := newFixture(map[string]allocation.TeamQuota{"a": {}})
+		for i := range 4 {
+			fixture.addMachine(fmt.Sprintf("i-%d", i), "big", []string{"x", "y"}[i%2], false)
+		}
+		gang := fixture.addJob(wire.Job{ID: "req-000001", Team: "a", Kind: wire.KindGang, TaskCount: 5, EstimatedRunSeconds: 60, SpreadZones: spread})
+		other := fixture.addJob(wire.Job{ID: "req-000002", Team: "a", TaskCount: 4, CPUs: 16, GPUs: 2, EstimatedRunSeconds: 60})
+		fixture.plan()
+		if gang.ActiveCount() != 5 || other.ActiveCount() != 4 {
+			t.Errorf("spread %v: got %d gang tasks and %d other tasks placed, want 5 and 4", spread, gang.ActiveCount(), other.ActiveCount())
+		}
+		if count := gang.CountInZone("x"); spread && (count < 2 || count > 3) {
+			t.Errorf("a spread gang of 5: got %d tasks in one of two zones, want 2 or 3", count)
+		}
+	}
+}
+
+// singleTaskSlots lists the slots of a machine with room for one task each.
+func singleTaskSlots(cycle *schedulingCycle, queued *queuedJob, machine *allocation.Machine) []gangSlot {
+	free := cycle.freeResources(machine)
+	search := slotSearch{
+		cycle: cycle, queued: queued, machine: machine,
+		fetchSeconds: cycle.imageReadySeconds(queued.job, machine), score: cycle.placementScore(queued.job, machine),
+		freeIfDrained: free, freeIfPreempted: free,
+	}
+	var slots []gangSlot
+	for range min(cycle.scheduler.tasksPerMachine(queued.job.Request, machine.Type), len(queued.readyTasks)) {
+		slot, ok := search.next(1)
+		if !ok {
+			break
+		}
+		slots = append(slots, slot)
+	}
+	return slots
+}
+
+// Shared slots stand for the same slots of single tasks, in the same order.
+func TestSharedGangSlotsEqualSingleTaskSlots(t *testing.T) {
+	sharedCount, waitingCount, stoppedCount := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		fixture := newFixture(map[string]allocation.TeamQuota{"a": {}, "b": {}})
+		machine := fixture.addMachine("i-1", "big", "x", false)
+		for i := range rapid.IntRange(0, 6).Draw(t, "jobs") {
+			job := fixture.addJob(wire.Job{
+				ID: fmt.Sprintf("req-1%05d", i), Team: "a", TaskCount: 1, Priority: rapid.SampledFrom([]string{wire.PriorityHigh, wire.PriorityLow}).Draw(t, "priority"),
+				Kind: rapid.SampledFrom([]string{wire.KindArray, wire.KindService}).Draw(t, "kind"),
+				CPUs: rapid.Float64Range(0, 6).Draw(t, "cpus"), GPUs: float64(rapid.IntRange(0, 1).Draw(t, "gpus")), EstimatedRunSeconds: float64(80 + 7*i + 100*rapid.IntRange(0, 3).Draw(t, "estimate")), // no two end at the same time
+			})
+			_ = fixture.tracker.PlaceTask(job, 0, machine, fixture.tracker.NextAttempt(), fixture.now) // there may be no room
+			fixture.now += clock.Second                                                                // ties between placements are broken by the order of a map
+		}
+		fixture.reportTasks(machine, wire.TaskRunning)
+		fixture.now += clock.Micros(rapid.IntRange(0, 60).Draw(t, "elapsed")) * clock.Second
+		gang := fixture.addJob(wire.Job{
+			ID: "req-000001", Team: "b", Kind: wire.KindGang, Priority: wire.PriorityNormal, TaskCount: rapid.IntRange(1, 40).Draw(t, "tasks"),
+			CPUs: rapid.SampledFrom([]float64{0, 0.5, 1, 3}).Draw(t, "gang cpus"), GPUs: rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "gang gpus"), EstimatedRunSeconds: 60,
+		})
+		queue := fixture.scheduler.buildQueue(fixture.tracker, nil, fixture.now, fixture.now)
+		cycle := fixture.scheduler.newCycle(fixture.tracker, queue, fixture.now)
+		queued := queue[slices.IndexFunc(queue, func(queued *queuedJob) bool { return queued.job == gang })]
+		machine.ForEachPlacement(func(placement *allocation.Placement) {
+			fixture.scheduler.remainingSeconds(placement, fixture.now) // the prediction is rounded once it is cached
+		})
+		want := singleTaskSlots(cycle, queued, machine)
+		var got []gangSlot
+		for _, slot := range cycle.appendMachineSlots(nil, queued, machine) {
+			if slot.taskCount > 1 {
+				sharedCount++
+			}
+			single := slot
+			single.taskCount = 1
+			got = append(got, slices.Repeat([]gangSlot{single}, slot.taskCount)...)
+		}
+		if !slices.Equal(got, want) {
+			t.Fatalf("slots by task: got %+v, want %+v", got, want)
+		}
+		for _, slot := range want {
+			if !slot.isFree && !math.IsInf(slot.readyInSeconds, 1) {
+				waitingCount++
+			} else if !slot.isFree {
+				stoppedCount++
+			}
+		}
+	})
+	if sharedCount < 10 || waitingCount < 10 || stoppedCount < 10 {
+		t.Fatalf("the cases cover too little: got %d shared slots, %d that wait and %d that only preemption frees, want at least 10 of each", sharedCount, waitingCount, stoppedCount)
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -118,16 +118,10 @@
 	return allocation.NewResources(machineType.CPUs, machineType.GPUs, machineType.MemoryGB)
 }
 
-// tasksPerMachine is how many tasks with the given need fit on an empty machine of a type.
+// tasksPerMachine is how many tasks with the given need fit on an empty machine of a type. It is
+// math.MaxInt32 for tasks that need nothing, so callers must not do something for each of that many tasks.
 func (scheduler *Scheduler) tasksPerMachine(need allocation.Resources, typeName string) int {
-	size := scheduler.MachineCapacity(typeName)
-	n := math.MaxInt32
-	for _, dimension := range [][2]int64{{need.MilliCPU, size.MilliCPU}, {need.MilliGPU, size.MilliGPU}, {need.MemoryMB, size.MemoryMB}} {
-		if dimension[0] > 0 {
-			n = min(n, int(dimension[1]/dimension[0]))
-		}
-	}
-	return n
+	return need.CountWithin(scheduler.MachineCapacity(typeName), math.MaxInt32)
 }
 
 // fractionalMachinesNeeded is how many machines a job would fill, not rounded, if they were of the
