Give every edge of the dependency graph both ends, and an ended job none

Cause: cancelWithDependents ended a job with one of its dependencies but left it among the dependents of the others; Graph.Remove then took its node away, on the premise that nothing refers to an ended job. When the other dependency completed, RecordCompletion met a nil node. Each member derives the same graph, so all ended.

The same edge was left by AddJob with a cancelled dependency, and by a completion that is recorded while a dependency is still looked up.

Why this works: an edge lasts while neither job has ended, both nodes have it, and ending a job drops its edges, so that removal can't leave one. Blocked means having edges to dependencies; the counter beside them is gone, and so are placeholders that nothing names.

--- a/internal/dag/graph.go
+++ b/internal/dag/graph.go
@@ -9,6 +9,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"firwood.dev/firwood/internal/clock"
@@ -92,18 +93,32 @@
 	return fmt.Sprintf("stage %d", uint8(s))
 }
 
-// node is a job with its edges in both directions.
+// jobSet is a set of jobs by id. The zero value is an empty set from which may be read and deleted.
+type jobSet map[string]struct{}
+
+// add adds a job and creates the set if necessary.
+func (set *jobSet) add(id string) {
+	if *set == nil {
+		*set = jobSet{}
+	}
+	(*set)[id] = struct{}{}
+}
+
+// sorted returns the ids in order.
+func (set jobSet) sorted() []string { return slices.Sorted(maps.Keys(set)) }
+
+// node is a job with its edges in both directions. An edge lasts while neither of its jobs has ended, and both
+// nodes have it: a job that has ended has no edges, so it can be removed.
 type node struct {
-	id                     string
-	stage                  stage
-	submittedAt            clock.Micros
-	estimatedRunTime       clock.Micros
-	urgency                Urgency // the job's own, merged with what its dependents pass on
-	dependencies           []string
-	dependents             []string
-	unfinishedDependencies int          // dependencies that are not done
-	releasedAt             clock.Micros // submission, or end of the last dependency if later; for a done job, its own end
-	isQueued               bool         // whether the node is in propagateUrgency's heap
+	id               string
+	stage            stage
+	submittedAt      clock.Micros
+	estimatedRunTime clock.Micros
+	urgency          Urgency      // the job's own, merged with what its dependents pass on
+	dependencies     jobSet       // the dependencies that have not ended
+	dependents       jobSet       // the dependents that have not ended
+	releasedAt       clock.Micros // submission, or end of the last dependency if later; for a done job, its own end
+	isQueued         bool         // whether the node is in propagateUrgency's heap
 }
 
 // hasEnded reports whether the job is done or cancelled, by its own record or because of a dependency.
@@ -141,17 +156,7 @@
 	jobNode.releasedAt = max(jobNode.releasedAt, job.SubmittedAt)
 	jobNode.urgency = jobNode.urgency.Merge(job.Urgency)
 	for _, dependency := range job.DependsOn {
-		dependencyNode := graph.ensureNode(dependency)
-		jobNode.dependencies = append(jobNode.dependencies, dependency)
-		dependencyNode.dependents = append(dependencyNode.dependents, job.ID)
-		switch dependencyNode.stage {
-		case stageDone:
-			jobNode.releasedAt = max(jobNode.releasedAt, dependencyNode.releasedAt)
-		case stageCancelled:
-			graph.cancelWithDependents(job.ID, &effects)
-		default:
-			jobNode.unfinishedDependencies++
-		}
+		graph.addDependency(jobNode, dependency, &effects)
 	}
 	if jobNode.stage == stageUnfinished {
 		graph.propagateUrgency(jobNode, &effects)
@@ -159,6 +164,52 @@
 	return effects
 }
 
+// addDependency adds the edge to a dependency that has not ended. The job is cancelled if the dependency is.
+func (graph *Graph) addDependency(jobNode *node, dependency string, effects *Effects) {
+	dependencyNode := graph.ensureNode(dependency)
+	switch {
+	case dependencyNode.stage == stageDone:
+		jobNode.releasedAt = max(jobNode.releasedAt, dependencyNode.releasedAt)
+	case dependencyNode.stage == stageCancelled:
+		graph.cancelWithDependents(jobNode.id, effects)
+	case jobNode.hasEnded():
+		graph.removeIfUnreferenced(dependencyNode)
+	default:
+		jobNode.dependencies.add(dependency)
+		dependencyNode.dependents.add(jobNode.id)
+	}
+}
+
+// dropDependencies removes a job's edges to its dependencies.
+func (graph *Graph) dropDependencies(jobNode *node) {
+	for dependency := range jobNode.dependencies {
+		dependencyNode := graph.nodes[dependency]
+		delete(dependencyNode.dependents, jobNode.id)
+		graph.removeIfUnreferenced(dependencyNode)
+	}
+	jobNode.dependencies = nil
+}
+
+// removeIfUnreferenced removes the node of a job that is known only by the edges to it once there are none.
+func (graph *Graph) removeIfUnreferenced(jobNode *node) {
+	if jobNode.stage == stageUnknown && len(jobNode.dependents) == 0 {
+		delete(graph.nodes, jobNode.id)
+	}
+}
+
+// takeDependents removes the edges from a job's dependents to the job, and returns the dependents in the order of
+// their ids.
+func (graph *Graph) takeDependents(jobNode *node) []*node {
+	var dependents []*node
+	for _, id := range jobNode.dependents.sorted() {
+		dependentNode := graph.nodes[id]
+		delete(dependentNode.dependencies, jobNode.id)
+		dependents = append(dependents, dependentNode)
+	}
+	jobNode.dependents = nil
+	return dependents
+}
+
 // RecordCompletion records that a job's completion is durable. completedAt is a wall-clock time.
 func (graph *Graph) RecordCompletion(id string, completedAt clock.Micros) Effects {
 	jobNode := graph.ensureNode(id)
@@ -167,15 +218,13 @@
 		return effects
 	}
 	jobNode.stage, jobNode.releasedAt = stageDone, completedAt
-	for _, dependent := range jobNode.dependents {
-		dependentNode := graph.nodes[dependent]
+	graph.dropDependencies(jobNode) // there are some if a dependency has not been looked up yet
+	for _, dependentNode := range graph.takeDependents(jobNode) {
 		dependentNode.releasedAt = max(dependentNode.releasedAt, completedAt)
-		dependentNode.unfinishedDependencies--
-		if dependentNode.unfinishedDependencies == 0 && dependentNode.stage == stageUnfinished {
-			effects.Released = append(effects.Released, dependent)
+		if len(dependentNode.dependencies) == 0 {
+			effects.Released = append(effects.Released, dependentNode.id)
 		}
 	}
-	jobNode.dependents, jobNode.dependencies = nil, nil
 	return effects
 }
 
@@ -203,29 +252,32 @@
 		}
 		jobNode.stage = stageCancelled
 		effects.Cancelled = append(effects.Cancelled, id)
-		work = append(work, jobNode.dependents...)
-		jobNode.dependents, jobNode.dependencies = nil, nil
+		graph.dropDependencies(jobNode)
+		for _, dependentNode := range graph.takeDependents(jobNode) {
+			work = append(work, dependentNode.id)
+		}
 	}
 }
 
-// IsBlocked reports whether a job has a dependency that is not done. The result is meaningless for a
-// cancelled job; see IsCancelled.
+// IsBlocked reports whether a job that has not ended has a dependency that is not done.
 func (graph *Graph) IsBlocked(id string) bool {
 	jobNode := graph.nodes[id]
-	return jobNode != nil && jobNode.unfinishedDependencies > 0
+	return jobNode != nil && len(jobNode.dependencies) > 0
 }
 
 // HasUnmetDependency reports whether a job has a dependency that is known not to be done: its record has been
-// seen, and it is unfinished or cancelled.
+// seen, and it has not ended. A job with a cancelled dependency is cancelled itself.
 func (graph *Graph) HasUnmetDependency(id string) bool {
 	jobNode := graph.nodes[id]
 	if jobNode == nil {
 		return false
 	}
-	return slices.ContainsFunc(jobNode.dependencies, func(dependency string) bool {
-		dependencyNode := graph.nodes[dependency]
-		return dependencyNode != nil && (dependencyNode.stage == stageUnfinished || dependencyNode.stage == stageCancelled)
-	})
+	for dependency := range jobNode.dependencies {
+		if graph.nodes[dependency].stage == stageUnfinished {
+			return true
+		}
+	}
+	return false
 }
 
 // IsCancelled reports whether a job is cancelled, by its own record or because of a dependency.
@@ -251,24 +303,16 @@
 	return own
 }
 
-// PendingDependencies returns the dependencies of a job that are not done.
+// PendingDependencies returns the dependencies of a job that are not done, in the order of their ids.
 func (graph *Graph) PendingDependencies(id string) []string {
 	jobNode := graph.nodes[id]
-	if jobNode == nil || jobNode.unfinishedDependencies == 0 {
+	if jobNode == nil {
 		return nil
 	}
-	var pending []string
-	for _, dependency := range jobNode.dependencies {
-		// A dependency that is no longer in the graph was done: had it been cancelled, this job would be
-		// cancelled too.
-		if dependencyNode := graph.nodes[dependency]; dependencyNode != nil && dependencyNode.stage != stageDone {
-			pending = append(pending, dependency)
-		}
-	}
-	return pending
+	return jobNode.dependencies.sorted()
 }
 
-// Remove removes a job that has ended. The removal has no effect on other jobs. If a later record names
+// Remove removes a job that has ended. The removal has no effect on other jobs, since an ended job has no edges. If a later record names
 // the job as a dependency, the job is unknown until its end is recorded again.
 func (graph *Graph) Remove(id string) {
 	if jobNode := graph.nodes[id]; jobNode != nil && jobNode.hasEnded() {
@@ -280,7 +324,7 @@
 func (graph *Graph) UnknownDependencies() []string {
 	var ids []string
 	for id, jobNode := range graph.nodes {
-		if jobNode.stage == stageUnknown && len(jobNode.dependents) > 0 {
+		if jobNode.stage == stageUnknown {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/dag/urgency.go
+++ b/internal/dag/urgency.go
@@ -25,11 +25,8 @@
 		jobNode, _ := heap.Pop(&work).(*node)
 		jobNode.isQueued = false
 		inherited := jobNode.urgency.forDependencies(jobNode.estimatedRunTime)
-		for _, dependency := range jobNode.dependencies {
+		for _, dependency := range jobNode.dependencies.sorted() {
 			dependencyNode := graph.nodes[dependency]
-			if dependencyNode == nil || dependencyNode.hasEnded() {
-				continue // nil means that the dependency was done and has been removed
-			}
 			merged := dependencyNode.urgency.Merge(inherited)
 			if merged == dependencyNode.urgency {
 				continue
--- a/internal/sim/finished_jobs_test.go
+++ b/internal/sim/finished_jobs_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"strings"
@@ -289,3 +290,44 @@
 		cluster.WaitForState(name, job.ID, wire.JobDone, 30*time.Second)
 	}
 }
+
+// largeCache has TestCompletionAfterEvictionOfCancelledDependent run with the default size of the cache.
+var largeCache = flag.Bool("default-cache", false, "have TestCompletionAfterEvictionOfCancelledDependent fill a cache of the default size")
+
+// defaultCachedJobCount is how many finished jobs a controller caches by default under the memory limit of
+// these deployments.
+const defaultCachedJobCount = 25600
+
+// Guards against all controllers panicking at once: a job was cancelled with one of its dependencies and evicted,
+// and then its other dependency completed.
+func TestCompletionAfterEvictionOfCancelledDependent(t *testing.T) {
+	options, fillerCount := smallCacheOptions(), finishedJobCount
+	if *largeCache {
+		options.FinishedJobs.CachedCount, fillerCount = 0, defaultCachedJobCount+cachedJobCount
+	}
+	options.TaskDurationStep = time.Hour
+	Run(t, options, func(cluster *Cluster) {
+		const tally, feeSplit, payout, audit = 900001, 900002, 900003, 900004
+		slow := Array(tally, 2, "a") // its second task runs until all other jobs are evicted
+		slow.EstimatedRunSeconds = time.Hour.Seconds()
+		cluster.MustRun("n0", slow)
+		cluster.MustSubmit("n1", Service(feeSplit, 1, "a"))
+		cluster.MustSubmit("n2", dependentArray(payout, "a", tally))
+		cluster.MustSubmit("n0", dependentArray(audit, "a", tally, payout))
+		cluster.MustCancel("n1", JobID(payout))
+		for _, member := range cluster.Members() {
+			cluster.WaitForState(member, JobID(audit), wire.JobCancelled, 10*time.Second)
+		}
+		for i := range fillerCount {
+			cluster.MustSubmit(cluster.Members()[i%3], Array(i, 1, "a"))
+		}
+		for i := range fillerCount {
+			cluster.WaitForState("n0", JobID(i), wire.JobDone, 5*time.Minute)
+		}
+		time.Sleep(time.Until(time.Date(2000, 1, 1, 1, 1, 0, 0, time.UTC))) // tally ends an hour after its start
+		for _, member := range cluster.Members() {
+			cluster.WaitForState(member, JobID(tally), wire.JobDone, time.Minute)
+			cluster.WaitForState(member, JobID(audit), wire.JobCancelled, time.Minute)
+		}
+	})
+}
