Bound messages to workers, and a machine's tasks by the room in its heartbeats

Command messages had up to 179 KB, workers' heartbeats got 413, leases ended, and all tasks with them.

Cause: nothing bounded the commands of a message or the tasks placed on a machine; exited tasks that a command request started stay listed until the token has risen.

Why this works: commands are added while their encoded size fits: stops, reaps, starts; what is left goes with the next message. Room in heartbeats, in bytes, is a fourth amount of allocation.Resources, so that placement, gangs, requests for machines and forecasts count it without a rule of their own. A task takes the larger one of its longest status and its stop, so that one reply can stop all that a heartbeat lists. Exited tasks take room until they are reaped; while they fill more than half, only replies start tasks, since those are reaped at once.

Peers' frames stay within MaxFrame with the longest names, as before (TestLargestHeartbeatFitsFrame).

--- a/internal/allocation/command_request.go
+++ b/internal/allocation/command_request.go
@@ -7,6 +7,12 @@
 	"firwood.dev/firwood/wire"
 )
 
+// maxUnplacedBytesForRequests is how much room in a machine's heartbeats exited attempts may take while command
+// requests start tasks there. An attempt that a command request has started is reaped only after the token has risen
+// (invariant 2), one that the reply to a heartbeat has started as soon as it has exited. So short tasks would fill the
+// heartbeats; beyond this bound, only replies start tasks.
+const maxUnplacedBytesForRequests = MachineReportBytes / 2
+
 // BuildCommandRequest returns a request to the worker (POST /commands) with the starts that were not
 // sent yet and the stops that are due, and the placements that it starts. A request without commands
 // probes a worker that may be unreachable.
@@ -17,24 +23,18 @@
 	if machine.hasCommandInFlight || !machine.TokenConfirmed || machine.Address == "" {
 		return nil, nil
 	}
-	var commands []wire.Command
+	var batch commandBatch
 	var starts []*Placement
-	for _, placement := range machine.placements {
-		if placement.Phase == PhaseReported && !placement.isStopping {
-			continue
-		}
-		countBefore := len(commands)
-		commands = tracker.appendCommands(commands, placement, now, channelCommandRequest)
-		if len(commands) > countBefore && commands[countBefore].Action == wire.ActionStart {
-			starts = append(starts, placement)
-		}
+	addPlacementStops(&batch, machine, now, channelCommandRequest)
+	if machine.unplacedBytes <= maxUnplacedBytesForRequests {
+		starts = tracker.addStarts(&batch, machine, now, channelCommandRequest)
 	}
-	if len(commands) == 0 && now >= machine.UnreachableUntil {
+	if len(batch.commands) == 0 && now >= machine.UnreachableUntil {
 		return nil, nil
 	}
 	// The worker may be unreachable: a request without commands probes whether it is reachable again.
 	machine.hasCommandInFlight = true
-	return &wire.CommandRequest{FencingToken: tracker.currentToken, Incarnation: machine.Incarnation, Commands: commands}, starts
+	return &wire.CommandRequest{FencingToken: tracker.currentToken, Incarnation: machine.Incarnation, Commands: batch.commands}, starts
 }
 
 // BuildConfirmationRequest returns a request to a worker that has not confirmed the token; the
--- a/internal/allocation/commands.go
+++ b/internal/allocation/commands.go
@@ -5,41 +5,65 @@
 	"firwood.dev/firwood/wire"
 )
 
-// HeartbeatCommands returns the commands for the reply to the machine's latest heartbeat. Until the
-// worker has confirmed the token, its heartbeats may be late copies, so nothing is started or reaped.
+// HeartbeatCommands returns the commands for the reply to the machine's latest heartbeat, as many as one message may
+// carry: stops first, then reaps, then starts. The rest follows with later messages. Until the worker has confirmed
+// the token, its heartbeats may be late copies, so nothing is started or reaped.
 func (tracker *Tracker) HeartbeatCommands(machine *Machine, now clock.Micros) []wire.Command {
 	if !machine.TokenConfirmed {
 		return tracker.RenewalStops(machine)
 	}
-	commands := tracker.unplacedAttemptCommands(machine)
+	var batch commandBatch
+	addUnknownJobStops(&batch, machine)
+	addPlacementStops(&batch, machine, now, channelHeartbeatReply)
+	tracker.addReaps(&batch, machine)
+	tracker.addStarts(&batch, machine, now, channelHeartbeatReply)
+	return batch.commands
+}
+
+// addUnknownJobStops adds the stops of tasks whose job isn't in the tracker.
+func addUnknownJobStops(batch *commandBatch, machine *Machine) {
+	for i := range machine.unplacedAttempts {
+		if unplaced := &machine.unplacedAttempts[i]; unplaced.isRunning {
+			batch.add(stopCommand(unplaced.taskID, unplaced.attempt, 0))
+		}
+	}
+}
+
+// addPlacementStops adds the stops that are due of tasks that the worker has reported.
+func addPlacementStops(batch *commandBatch, machine *Machine, now clock.Micros, channel commandChannel) {
 	for _, placement := range machine.placements {
-		if placement.Phase != PhaseReported || placement.isStopping {
-			commands = tracker.appendCommands(commands, placement, now, channelHeartbeatReply)
+		if placement.Phase == PhaseReported && placement.isStopping {
+			addStop(batch, placement, now, channel)
 		}
 	}
-	return commands
 }
 
-// unplacedAttemptCommands returns the commands that make the worker forget (reap) exited attempts, and
-// stop tasks whose job isn't in the tracker. The worker keeps listing an exited attempt that must not
-// be reaped yet.
-func (tracker *Tracker) unplacedAttemptCommands(machine *Machine) []wire.Command {
-	var commands []wire.Command
+// addReaps adds the commands that make the worker forget (reap) exited attempts. The worker keeps listing an exited
+// attempt that must not be reaped yet.
+func (tracker *Tracker) addReaps(batch *commandBatch, machine *Machine) {
 	for i := range machine.unplacedAttempts {
 		unplaced := &machine.unplacedAttempts[i]
 		switch {
 		case unplaced.isRunning:
-			commands = append(commands, stopCommand(unplaced.taskID, unplaced.attempt, 0))
 		case unplaced.needsDurableCompletion(): // invariant 5
 		case machine.lateStarts[unplaced.key()]: // invariant 2
 		case machine.startTokens[unplaced.key()] != 0: // invariant 2: a copy of the start may arrive
 			tracker.needsHigherToken = true
 		case machine.hasPlacement(unplaced.key()):
 		default:
-			commands = append(commands, wire.Command{Action: wire.ActionReap, TaskID: unplaced.taskID, Attempt: unplaced.attempt})
+			batch.add(wire.Command{Action: wire.ActionReap, TaskID: unplaced.taskID, Attempt: unplaced.attempt})
 		}
 	}
-	return commands
+}
+
+// addStarts adds the starts that are due, and returns the placements that it starts.
+func (tracker *Tracker) addStarts(batch *commandBatch, machine *Machine, now clock.Micros, channel commandChannel) (started []*Placement) {
+	for _, placement := range machine.placements {
+		if placement.Phase != PhaseReported && tracker.addStartOrFence(batch, placement, now, channel) {
+			started = append(started, placement)
+		}
+	}
+	return started
 }
 
 func startCommand(placement *Placement) wire.Command {
@@ -65,48 +89,44 @@
 	channelCommandRequest
 )
 
-// appendCommands appends the commands that a placement needs. It ends a placement in PhaseAssigned
-// whose start is no longer allowed.
-func (tracker *Tracker) appendCommands(commands []wire.Command, placement *Placement, now clock.Micros, channel commandChannel) []wire.Command {
+// addStartOrFence adds the start of a placement that the worker has not reported, or the fence of one that may still
+// arrive. It ends a placement in PhaseAssigned whose start is no longer allowed. It reports whether it added a start.
+func (tracker *Tracker) addStartOrFence(batch *commandBatch, placement *Placement, now clock.Micros, channel commandChannel) (isStarted bool) {
 	switch {
-	case placement.Phase == PhaseReported && placement.isStopping:
-		return appendStop(commands, placement, now, channel)
-	case placement.Phase == PhaseReported:
-		return commands
 	case placement.isStopping && placement.mayArriveLate && channel == channelHeartbeatReply:
-		return tracker.appendStartFence(commands, placement, now)
+		tracker.addStartFence(batch, placement, now)
+		return false
 	case placement.isStopping, tracker.startsPaused:
-		return commands
+		return false
 	case placement.Phase == PhaseAssigned && !tracker.canStart(placement):
 		tracker.endPlacement(placement, wire.ExitStopped, now)
-		return commands
+		return false
 	case placement.Phase == PhaseAssigned, placement.mayStartArrive() && channel == channelHeartbeatReply:
 		// A start whose command request got no response is sent again in the reply: the worker ignores
 		// a second start of an attempt that it lists.
-		return tracker.appendStart(commands, placement, channel)
+		return tracker.addStart(batch, placement, channel)
 	}
-	return commands
+	return false
 }
 
-// appendStop appends the stop of a task that the worker has reported. It appends none while the task
-// saves its progress, unless the stop's grace is 0, and a command request doesn't repeat a stop that
-// counts as sent.
-func appendStop(commands []wire.Command, placement *Placement, now clock.Micros, channel commandChannel) []wire.Command {
+// addStop adds the stop of a task that the worker has reported. It adds none while the task saves its
+// progress, unless the stop's grace is 0, and a command request doesn't repeat a stop that counts as sent.
+func addStop(batch *commandBatch, placement *Placement, now clock.Micros, channel commandChannel) {
 	isRepeated := channel == channelCommandRequest && placement.stopSentAt != 0
 	if !placement.NeedsStop() || isRepeated {
-		return commands
+		return
+	}
+	if batch.add(stopCommand(placement.taskID, placement.Attempt, placement.stopGrace)) {
+		placement.stopSentAt = now
 	}
-	placement.stopSentAt = now
-	return append(commands, stopCommand(placement.taskID, placement.Attempt, placement.stopGrace))
 }
 
-// appendStartFence fences a start that may still arrive by sending a start and a stop in one message:
+// addStartFence fences a start that may still arrive by sending a start and a stop in one message:
 // the worker then lists the attempt as exited, and the late start has no effect.
-func (tracker *Tracker) appendStartFence(commands []wire.Command, placement *Placement, now clock.Micros) []wire.Command {
-	if tracker.startsPaused || tracker.isPastFenceWindow(placement.Job, now) {
-		return commands
+func (tracker *Tracker) addStartFence(batch *commandBatch, placement *Placement, now clock.Micros) {
+	if !tracker.startsPaused && !tracker.isPastFenceWindow(placement.Job, now) {
+		batch.add(startCommand(placement), stopCommand(placement.taskID, placement.Attempt, 0))
 	}
-	return append(commands, startCommand(placement), stopCommand(placement.taskID, placement.Attempt, 0))
 }
 
 // isPastFenceWindow reports whether a job was cancelled so long ago that a start of one of its tasks,
@@ -115,10 +135,11 @@
 	return job.Cancelled && now-job.CancelledAt > tracker.cfg.CancelFenceWindow
 }
 
-// appendStart appends the start of a placement if it is allowed, and records how it is sent.
-func (tracker *Tracker) appendStart(commands []wire.Command, placement *Placement, channel commandChannel) []wire.Command {
-	if !tracker.canStart(placement) || !tracker.mayDispatch(placement) {
-		return commands
+// addStart adds the start of a placement if it is allowed and fits, records how it is sent, and reports whether it
+// added the start.
+func (tracker *Tracker) addStart(batch *commandBatch, placement *Placement, channel commandChannel) bool {
+	if !tracker.canStart(placement) || !tracker.mayDispatch(placement) || !batch.add(startCommand(placement)) {
+		return false
 	}
 	placement.Phase = PhaseSent
 	switch channel {
@@ -128,7 +149,7 @@
 	case channelHeartbeatReply:
 		placement.sentInSequence = placement.Machine.HeartbeatSequence
 	}
-	return append(commands, startCommand(placement))
+	return true
 }
 
 // HasUnfenceableStart reports whether a start of a cancelled job may still arrive at the machine and
--- a/internal/allocation/doc.go
+++ b/internal/allocation/doc.go
@@ -39,5 +39,6 @@
 //     and that has to end, whatever token the worker has seen. So a reply renews the lease of a worker
 //     without stopping such a task only if the controller that sends it doesn't know yet that the task
 //     has to end, however many leaders there are. Package staleness bounds how long a controller may
-//     not know.
+//     not know. A machine gets no more tasks than a heartbeat can list and one message can stop (MachineReportBytes); of
+//     more tasks, which another version may have placed, each reply stops as many as it can carry.
 package allocation
--- a/internal/allocation/heartbeat.go
+++ b/internal/allocation/heartbeat.go
@@ -126,7 +126,7 @@
 // applyTaskReports applies a heartbeat's list of tasks, and returns how many of the machine's
 // placements it lists.
 func (tracker *Tracker) applyTaskReports(machine *Machine, taskReports []wire.TaskStatus, now clock.Micros, tokenConfirmed bool) int {
-	machine.unplacedAttempts = machine.unplacedAttempts[:0]
+	machine.unplacedAttempts, machine.unplacedBytes = machine.unplacedAttempts[:0], 0
 	tracker.heartbeatCount++
 	listedCount := 0
 	for i := range taskReports {
--- a/internal/allocation/job_tracking.go
+++ b/internal/allocation/job_tracking.go
@@ -19,6 +19,7 @@
 		jobKind:    jobKind{isGang: spec.Kind == wire.KindGang, isService: spec.Kind == wire.KindService},
 		taskCounts: taskCounts{waitingCount: spec.TaskCount, placementCountByZone: map[string]int{}},
 	}
+	job.Request.ReportBytes = taskReportBytes(spec)
 	tracker.Jobs[spec.ID] = job
 	mayHaveStarted := tracker.unconfirmedFilter(job, func(i int) bool { return tracker.cfg.MayHaveStarted(wire.TaskID(spec.ID, i)) })
 	for i := range job.Tasks {
--- a/internal/allocation/machine.go
+++ b/internal/allocation/machine.go
@@ -1,6 +1,9 @@
 package allocation
 
-import "firwood.dev/firwood/internal/clock"
+import (
+	"firwood.dev/firwood/internal/clock"
+	"firwood.dev/firwood/wire"
+)
 
 // unplacedAttempt is an attempt that the worker lists and that has no placement. Most of them have
 // exited. The worker lists an attempt until it is told to forget (reap) it.
@@ -25,6 +28,20 @@
 	attempt uint64
 }
 
+// reportBytes returns the room that the attempt takes in the machine's heartbeats.
+func (unplaced *unplacedAttempt) reportBytes() int64 {
+	if unplaced.job != nil {
+		return unplaced.job.Request.ReportBytes
+	}
+	return int64(wire.MaxTaskBytes(unplaced.taskID, 0))
+}
+
+// addUnplaced records an attempt that the current heartbeat lists and that has no placement.
+func (machine *Machine) addUnplaced(unplaced unplacedAttempt) {
+	machine.unplacedAttempts = append(machine.unplacedAttempts, unplaced)
+	machine.unplacedBytes += unplaced.reportBytes()
+}
+
 func (unplaced *unplacedAttempt) key() attemptKey {
 	return attemptKey{unplaced.taskID, unplaced.attempt}
 }
@@ -119,6 +136,7 @@
 // attemptRecords decide when the worker may be told to forget (reap) an attempt (invariant 2).
 type attemptRecords struct {
 	unplacedAttempts []unplacedAttempt   // from the last accepted heartbeat
+	unplacedBytes    int64               // room that unplacedAttempts take in the machine's heartbeats
 	lateStarts       map[attemptKey]bool // ended attempts whose start may still arrive
 	// startTokens holds, for each start that a command request carried, the token of that request. Copies
 	// of the request may arrive until the worker has seen a higher token.
@@ -135,8 +153,13 @@
 // Used returns the resources that the machine's placements take.
 func (machine *Machine) Used() Resources { return machine.used }
 
-// Free returns the resources that are left for new tasks.
-func (machine *Machine) Free() Resources { return machine.Capacity.Sub(machine.used) }
+// Free returns the resources that are left for new tasks. Exited attempts that are not reaped yet take room in the
+// machine's heartbeats.
+func (machine *Machine) Free() Resources {
+	free := machine.Capacity.Sub(machine.used)
+	free.ReportBytes -= machine.unplacedBytes
+	return free
+}
 
 // ReplicaCount returns how many tasks of services are, or may be, on the machine.
 func (machine *Machine) ReplicaCount() int { return machine.replicaCount }
--- a/internal/allocation/machine_tracking.go
+++ b/internal/allocation/machine_tracking.go
@@ -8,6 +8,7 @@
 	if machine := tracker.Machines[name]; machine != nil {
 		return machine
 	}
+	capacity.ReportBytes = MachineReportBytes
 	machine := &Machine{
 		MachineSpec:         MachineSpec{Name: name, Type: machineType, Zone: zone, Spot: spot, Capacity: capacity},
 		MachineRestrictions: MachineRestrictions{FailedJobs: map[string]bool{}},
--- a/internal/allocation/renewal_stops.go
+++ b/internal/allocation/renewal_stops.go
@@ -11,19 +11,19 @@
 // of them left the stops to its second reply, but ended within one heartbeat interval, before that reply
 // (docs/incidents/renewed-without-stops.md).
 func (tracker *Tracker) RenewalStops(machine *Machine) []wire.Command {
-	var commands []wire.Command
+	var batch commandBatch
 	for i := range machine.unplacedAttempts {
 		if unplaced := &machine.unplacedAttempts[i]; unplaced.isRunning && !tracker.mayBeActive(unplaced.taskID) {
-			commands = append(commands, stopCommand(unplaced.taskID, unplaced.attempt, 0))
+			batch.add(stopCommand(unplaced.taskID, unplaced.attempt, 0))
 		}
 	}
 	for _, placement := range machine.placements {
 		if placement.NeedsStop() {
 			// stopSentAt is not set: if the heartbeat is a late copy, the reply reaches no worker.
-			commands = append(commands, stopCommand(placement.taskID, placement.Attempt, placement.stopGrace))
+			batch.add(stopCommand(placement.taskID, placement.Attempt, placement.stopGrace))
 		}
 	}
-	return commands
+	return batch.commands
 }
 
 // mayBeActive reports whether the job of a task may be active although the tracker does not have it.
@@ -43,15 +43,15 @@
 // Tracker: a leader that doesn't know the machine, or a delegate. The stops have no grace, and are for the
 // listed tasks whose jobs have to end (invariant 7).
 func StopsOfListedTasks(heartbeat *wire.Heartbeat, mustEnd func(jobID string) bool) []wire.Command {
-	var commands []wire.Command
+	var batch commandBatch
 	for i := range heartbeat.Tasks {
 		task := &heartbeat.Tasks[i]
 		if task.State == wire.TaskExited {
 			continue
 		}
 		if jobID, _, ok := wire.ParseTaskID(task.TaskID); ok && mustEnd(jobID) {
-			commands = append(commands, stopCommand(task.TaskID, task.Attempt, 0))
+			batch.add(stopCommand(task.TaskID, task.Attempt, 0))
 		}
 	}
-	return commands
+	return batch.commands
 }
--- a/internal/allocation/task_report.go
+++ b/internal/allocation/task_report.go
@@ -17,7 +17,7 @@
 	if !ok || job == nil || taskIndex >= len(job.Tasks) {
 		// The job is over or unknown, so the task can only be stopped and reaped.
 		isRunning := taskReport.State != wire.TaskExited
-		machine.unplacedAttempts = append(machine.unplacedAttempts, unplacedAttempt{taskID: taskReport.TaskID, attempt: taskReport.Attempt, isRunning: isRunning})
+		machine.addUnplaced(unplacedAttempt{taskID: taskReport.TaskID, attempt: taskReport.Attempt, isRunning: isRunning})
 		if isRunning {
 			tracker.TasksOfUnknownJobs = append(tracker.TasksOfUnknownJobs, taskReport.TaskID)
 		}
@@ -25,7 +25,7 @@
 	}
 	if placement != nil && placement.Attempt != taskReport.Attempt {
 		if taskReport.State == wire.TaskExited {
-			machine.unplacedAttempts = append(machine.unplacedAttempts, unplacedAttempt{taskID: taskReport.TaskID, attempt: taskReport.Attempt, job: job, taskIndex: taskIndex})
+			machine.addUnplaced(unplacedAttempt{taskID: taskReport.TaskID, attempt: taskReport.Attempt, job: job, taskIndex: taskIndex})
 			return false
 		}
 		if placement.Phase == PhaseReported && taskReport.Attempt < placement.Attempt {
@@ -69,7 +69,7 @@
 	} else if taskReport.ExitCause == wire.ExitDone && !job.IsService() {
 		tracker.recordCompletion(job, taskIndex)
 	}
-	machine.unplacedAttempts = append(machine.unplacedAttempts, unplacedAttempt{taskID: taskReport.TaskID, attempt: taskReport.Attempt, job: job, taskIndex: taskIndex, isCompleted: taskReport.ExitCause == wire.ExitDone})
+	machine.addUnplaced(unplacedAttempt{taskID: taskReport.TaskID, attempt: taskReport.Attempt, job: job, taskIndex: taskIndex, isCompleted: taskReport.ExitCause == wire.ExitDone})
 }
 
 // applyProgress records the state of a task that hasn't exited.
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -60,6 +60,7 @@
 	cfg               CloudConfig
 	mu                sync.Mutex
 	isDown            bool                      // whether every API request is answered with 503
+	capacity          int                       // the largest number of machines at a time, or 0 if there is no bound
 	workers           map[string]*workerProcess // by machine, without deleted machines
 	machinesByRequest map[string][]string       // machines that were booted, by ID of the scale-out request
 	nextMachineNumber int
@@ -69,6 +70,7 @@
 	workerByTask map[string]*workerProcess // worker that last started each task, to detect duplicate execution
 	startCount   int
 	violations   []string // descriptions of duplicate executions
+	messages     MessageCounts
 
 	// Lifecycle.
 	done       chan struct{}  // closed when the cloud is stopped
@@ -111,6 +113,13 @@
 	}
 }
 
+// SetCapacity bounds how many machines there are at a time. 0 means that there is no bound.
+func (cloud *Cloud) SetCapacity(machines int) {
+	cloud.mu.Lock()
+	defer cloud.mu.Unlock()
+	cloud.capacity = machines
+}
+
 // runAdvanceLoop ends tasks that are due and leases that have expired, until the cloud is stopped.
 func (cloud *Cloud) runAdvanceLoop() {
 	ticker := time.NewTicker(advanceInterval)
--- a/internal/fake/cloud_http.go
+++ b/internal/fake/cloud_http.go
@@ -59,6 +59,13 @@
 		writeJSON(w, 400, struct{}{})
 		return
 	}
+	if cloud.machinesByRequest[request.RequestID] == nil && cloud.capacity > 0 {
+		request.Count = min(request.Count, cloud.capacity-len(cloud.workers))
+		if request.Count <= 0 {
+			writeJSON(w, 503, wire.ErrorResponse{Error: "no capacity"})
+			return
+		}
+	}
 	if cloud.machinesByRequest[request.RequestID] == nil {
 		for range request.Count {
 			cloud.machinesByRequest[request.RequestID] = append(cloud.machinesByRequest[request.RequestID], cloud.bootMachine(request))
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -105,6 +105,7 @@
 	if err != nil {
 		panic(err)
 	}
+	cloud.messages.countHeartbeat(body)
 	worker.lastHeartbeatBody = body
 	controller := cloud.cfg.ControllerNames[worker.controllerIndex%len(cloud.cfg.ControllerNames)]
 	url := "http://" + cloud.cfg.ControllerAddresses[controller] + "/checkin"
@@ -117,6 +118,10 @@
 	if worker.fault == MachineCommandsLost || worker.fault == MachineHanging {
 		status = 0 // the reply is lost
 	}
+	if len(responseBody) > wire.MaxBodyBytes {
+		cloud.messages.OversizedReplies++
+		status = 0 // the worker doesn't read it
+	}
 	switch status {
 	case 200:
 		var reply wire.HeartbeatResponse
@@ -187,6 +192,9 @@
 func (worker *workerProcess) advance() {
 	now := time.Now()
 	if now.Sub(worker.leaseStartedAt) > worker.cloud.cfg.LeaseTTL {
+		if len(worker.heartbeat.Tasks) > 0 {
+			worker.cloud.messages.LeasesLostWithTasks++
+		}
 		worker.killAllTasks()
 		worker.heartbeat.Incarnation++
 		worker.heartbeat.Tasks = []wire.TaskStatus{}
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"reflect"
 	"strconv"
 	"strings"
@@ -127,6 +128,47 @@
 	}
 }
 
+// Guards against links that are closed again and again: with the longest names that users may choose, and with the
+// maximum of everything, the frame is within the limit and keeps all but hints.
+func TestLargestHeartbeatFitsFrame(t *testing.T) {
+	name := func(kind string, i int) string { return kind + strings.Repeat("n", 190) + strconv.Itoa(i) }
+	heartbeat := &Heartbeat{Member: name("member", 0), Leader: name("leader", 0)}
+	for i := range MaxCancellations {
+		heartbeat.Cancellations = append(heartbeat.Cancellations, Cancellation{Job: fmt.Sprintf("req-%06d", i)})
+	}
+	for i := range MaxJobProgress {
+		heartbeat.JobProgress = append(heartbeat.JobProgress, JobProgress{Job: fmt.Sprintf("req-%06d", i), Done: 1, Running: 1})
+	}
+	for i := range MaxRunTimeClasses {
+		heartbeat.RunTimes = append(heartbeat.RunTimes, RunTimeStatistics{Class: name("class", i), Count: 1})
+	}
+	for i := range MaxBootTimeTypes {
+		heartbeat.BootTimes = append(heartbeat.BootTimes, BootTimes{MachineType: name("type", i), Durations: make([]clock.Micros, MaxBootTimesPerType)})
+	}
+	for i := range MaxCachedImageMachines {
+		images := CachedImages{Machine: name("machine", i)}
+		for j := range MaxImagesPerMachine {
+			images.Images = append(images.Images, name("image", i*MaxImagesPerMachine+j))
+		}
+		heartbeat.CachedImages = append(heartbeat.CachedImages, images)
+	}
+	frame := Encode(heartbeat)
+	if len(frame) > MaxFrame {
+		t.Fatalf("got a frame of %d bytes, want at most %d", len(frame), MaxFrame)
+	}
+	var reader FrameReader
+	received := 0
+	err := reader.Feed(frame, func(got *Heartbeat) {
+		received++
+		if len(got.Cancellations) != MaxCancellations || len(got.RunTimes) != MaxRunTimeClasses || len(got.BootTimes) != MaxBootTimeTypes {
+			t.Errorf("got %d cancellations, %d classes and %d types, want all", len(got.Cancellations), len(got.RunTimes), len(got.BootTimes))
+		}
+	})
+	if err != nil || received != 1 {
+		t.Errorf("got error %v and %d heartbeats, want none and 1", err, received)
+	}
+}
+
 // A reader rejects a standby message with more than the maximum number of decisions as malformed.
 func TestOversizedStandbyMessageIsRefused(t *testing.T) {
 	message := &standby.Message{Token: 1, Decisions: make([]standby.Decision, standby.MaxDecisions+1)}
--- a/internal/scheduler/resources.go
+++ b/internal/scheduler/resources.go
@@ -35,5 +35,5 @@
 }
 
 func componentMin(a, b allocation.Resources) allocation.Resources {
-	return allocation.Resources{MilliCPU: min(a.MilliCPU, b.MilliCPU), MilliGPU: min(a.MilliGPU, b.MilliGPU), MemoryMB: min(a.MemoryMB, b.MemoryMB)}
+	return allocation.Resources{MilliCPU: min(a.MilliCPU, b.MilliCPU), MilliGPU: min(a.MilliGPU, b.MilliGPU), MemoryMB: min(a.MemoryMB, b.MemoryMB), ReportBytes: min(a.ReportBytes, b.ReportBytes)}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -115,11 +115,12 @@
 // MachineCapacity is the capacity of machines of a type, or zero if the type is unknown.
 func (scheduler *Scheduler) MachineCapacity(typeName string) allocation.Resources {
 	machineType := scheduler.MachineTypes[typeName]
-	return allocation.NewResources(machineType.CPUs, machineType.GPUs, machineType.MemoryGB)
+	capacity := allocation.NewResources(machineType.CPUs, machineType.GPUs, machineType.MemoryGB)
+	capacity.ReportBytes = allocation.MachineReportBytes
+	return capacity
 }
 
-// tasksPerMachine is how many tasks with the given need fit on an empty machine of a type. It is
-// math.MaxInt32 for tasks that need nothing, so callers must not do something for each of that many tasks.
+// tasksPerMachine is how many tasks with the given need fit on an empty machine of a type.
 func (scheduler *Scheduler) tasksPerMachine(need allocation.Resources, typeName string) int {
 	return need.CountWithin(scheduler.MachineCapacity(typeName), math.MaxInt32)
 }
--- a/internal/sim/options.go
+++ b/internal/sim/options.go
@@ -21,6 +21,8 @@
 	TaskDuration, TaskDurationStep time.Duration
 	// BootDuration is the time from a scale-out request to the machine's first heartbeat.
 	BootDuration time.Duration
+	// MachineCPUs is the number of CPUs of each machine.
+	MachineCPUs  float64
 	Workers      WorkerTimes
 	Limits       Limits
 	Standby      StandbyOptions
@@ -88,6 +90,7 @@
 	}
 	setIfZero(&options.TaskDuration, 20*time.Second)
 	setIfZero(&options.BootDuration, 2*time.Second)
+	setIfZero(&options.MachineCPUs, 8)
 	setIfZero(&options.Workers.LeaseTTL, 36*time.Second)
 	setIfZero(&options.Workers.CancellationGrace, 66*time.Second)
 	setIfZero(&options.Workers.HeartbeatInterval, 3*time.Second)
