Answer heartbeats above the protocol's size, and count and log them

Cause: one limit for the bodies of all requests.

Change: the limit of a request's body follows from its path. A heartbeat may have 256 KiB, which is what responses of workers may have already; other requests keep 64 KiB. firwood_oversized_heartbeats_total and an error line say when that happens.

--- a/internal/controller/worker_heartbeats.go
+++ b/internal/controller/worker_heartbeats.go
@@ -26,6 +26,15 @@
 	}
 }
 
+// RecordOversizedHeartbeat counts and logs a heartbeat of size bytes, more than the protocol allows. It may be called
+// on any goroutine.
+func (controller *Controller) RecordOversizedHeartbeat(machine string, size int) {
+	controller.metrics.CountOversizedHeartbeat()
+	controller.postResult(func() {
+		controller.logDropped("heartbeat larger than the protocol allows", "machine", machine, "bytes", size, "allowed", wire.MaxBodyBytes)
+	})
+}
+
 func (controller *Controller) handleWorkerHeartbeat(heartbeat *wire.Heartbeat, reply *server.Reply) {
 	controller.workers.lastContactAt[heartbeat.MachineID] = clock.Now()
 	switch {
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -10,6 +10,8 @@
 	Line int // of a request line, status line, header line or chunk size line
 	Head int // of all lines of the head and trailer together, line ends included
 	Body int // of the body
+	// RequestBody, if not nil, returns the bound of the body of a request with a target, in place of Body.
+	RequestBody func(target string) int
 }
 
 // DefaultLimits are the limits for requests of users and workers. Clients change Body for responses.
--- a/internal/http1/parser_body.go
+++ b/internal/http1/parser_body.go
@@ -41,7 +41,7 @@
 		parser.phase = phaseTrailer
 		return stepContinues, nil
 	}
-	if size > parser.limits.Body-len(parser.message.Body) {
+	if size > parser.bodyLimit()-len(parser.message.Body) {
 		return stepNeedsInput, errBodyTooLarge
 	}
 	parser.remaining = size
--- a/internal/http1/parser_head.go
+++ b/internal/http1/parser_head.go
@@ -60,7 +60,7 @@
 	case parser.isChunked:
 		parser.phase = phaseChunkSize
 		return stepContinues, nil
-	case parser.contentLength > parser.limits.Body:
+	case parser.contentLength > parser.bodyLimit():
 		return stepNeedsInput, errBodyTooLarge
 	case parser.contentLength > 0:
 		parser.remaining = parser.contentLength
@@ -74,6 +74,14 @@
 	return stepHasMessage, nil
 }
 
+// bodyLimit returns the largest size in bytes of the body of the message that is being read.
+func (parser *Parser) bodyLimit() int {
+	if parser.isResponse || parser.limits.RequestBody == nil {
+		return parser.limits.Body
+	}
+	return parser.limits.RequestBody(parser.message.Target)
+}
+
 // deleteByte is the highest ASCII control character, DEL.
 const deleteByte = 0x7f
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -59,6 +59,8 @@
 	failoverDurations [failoverPartCount]prometheus.Observer
 	failoverCount     prometheus.Counter
 
+	oversizedHeartbeats prometheus.Counter
+
 	mu       sync.Mutex // guards the gauges from when they are set until they are gathered
 	gauges   gauges
 	registry *prometheus.Registry
@@ -83,7 +85,8 @@
 		metrics.failoverDurations[part] = failoverDurations.WithLabelValues(FailoverPart(part).String())
 	}
 	metrics.failoverCount = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "failovers_total", Help: "Terms that this member has begun as leader."})
-	metrics.registry.MustRegister(heartbeatReplies, metrics.commands, failoverDurations, metrics.failoverCount)
+	metrics.oversizedHeartbeats = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "oversized_heartbeats_total", Help: "Workers' heartbeats that were larger than the protocol allows."})
+	metrics.registry.MustRegister(metrics.oversizedHeartbeats, heartbeatReplies, metrics.commands, failoverDurations, metrics.failoverCount)
 	metrics.gauges = gauges{
 		isLeader:              metrics.newGauge("leader", "1 if this member leads and may act, else 0."),
 		token:                 metrics.newGauge("token", "Fencing token of the newest leader that this member knows."),
@@ -107,6 +110,9 @@
 // CountReply counts the reply to a heartbeat.
 func (metrics *Metrics) CountReply(reply HeartbeatReply) { metrics.heartbeatReplies[reply].Inc() }
 
+// CountOversizedHeartbeat counts a heartbeat that is larger than the protocol allows.
+func (metrics *Metrics) CountOversizedHeartbeat() { metrics.oversizedHeartbeats.Inc() }
+
 // CountCommands counts the commands of one message, each under its kind.
 func (metrics *Metrics) CountCommands(commands []wire.Command, channel CommandChannel, outcome CommandOutcome) {
 	for i := range commands {
--- a/internal/server/routes.go
+++ b/internal/server/routes.go
@@ -27,10 +27,29 @@
 // jobPlaceholder stands for a job's ID in a path.
 const jobPlaceholder = "{job}"
 
+// heartbeatPath is the path of workers' heartbeats.
+const heartbeatPath = "/checkin"
+
+// maxHeartbeatBytes bounds the body of a heartbeat. Other requests may have wire.MaxBodyBytes. A heartbeat above that
+// limit is answered all the same, since the worker would lose its lease, and with it all its tasks.
+const maxHeartbeatBytes = 4 * wire.MaxBodyBytes
+
+// requestLimits are the limits of requests.
+var requestLimits = func() http1.Limits {
+	limits := http1.DefaultLimits
+	limits.RequestBody = func(target string) int {
+		if path, _, _ := strings.Cut(target, "?"); path == heartbeatPath {
+			return maxHeartbeatBytes
+		}
+		return limits.Body
+	}
+	return limits
+}()
+
 // routes are tried in order, and the first with a matching path applies. The route that cancels a job
 // therefore comes before the one that shows it.
 var routes = []route{
-	{http.MethodPost, "/checkin", roleWorker, (*Server).handleHeartbeat},
+	{http.MethodPost, heartbeatPath, roleWorker, (*Server).handleHeartbeat},
 	{http.MethodGet, "/up", roleUser, (*Server).handleHealth},
 	{http.MethodPost, "/api/jobs", roleUser, (*Server).submitJob},
 	{http.MethodPost, "/api/jobs/" + jobPlaceholder + "/withdraw", roleUser, func(server *Server, exchange exchange) {
@@ -97,6 +116,9 @@
 		exchange.connection.replyNow(http.StatusBadRequest, ErrorBody("malformed report"))
 		return
 	}
+	if len(exchange.body) > wire.MaxBodyBytes {
+		server.app.RecordOversizedHeartbeat(heartbeat.MachineID, len(exchange.body))
+	}
 	server.app.HandleHeartbeat(heartbeat, exchange.reply)
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -24,6 +24,9 @@
 	ShowJob(id string, reply *Reply)
 	CancelJob(id string, reply *Reply)
 	HandleHeartbeat(heartbeat *wire.Heartbeat, reply *Reply)
+	// RecordOversizedHeartbeat records a heartbeat of size bytes, more than the protocol allows. HandleHeartbeat
+	// is called for it as well.
+	RecordOversizedHeartbeat(machine string, size int)
 	IsHealthy() bool
 	SendJobReport(reply *Reply)
 	SendStandbyStatus(reply *Reply)
@@ -113,7 +116,7 @@
 	if evioConn.AddrIndex() == peerListenerIndex {
 		connection.frameReader, connection.role = &peer.FrameReader{}, roleController
 	} else {
-		connection.parser = http1.NewRequestParser(http1.DefaultLimits)
+		connection.parser = http1.NewRequestParser(requestLimits)
 	}
 	evioConn.SetContext(connection)
 	server.connections[connection] = struct{}{}
