Look up unknown dependencies before telling users that a job has not ended

Cause: each controller derives from the records whether a job is cancelled with a dependency. A poll waited for a sync of the view, but not for the look-up of a dependency that the view has evicted.

Why this works: a status that isn't final is sent only once every direct and indirect dependency of the job is known to the graph; otherwise these are looked up and the status is determined again, after another sync. The store gives no result: 503, so the user asks again. Repeated submissions and the reply to a submission go the same way. The graph counts its unknown jobs, so the check is a comparison when there are none.

Passes now with a fast store, a slow one, and one that refuses a member, with and without -standby.

--- a/internal/controller/job_lookup.go
+++ b/internal/controller/job_lookup.go
@@ -39,6 +39,26 @@
 	controller.sendLookups(clock.Now())
 }
 
+// lookUpJobs fetches jobs that may have been evicted from the view, and calls onResults with the result of each once all
+// have one; at once if there are no jobs.
+func (controller *Controller) lookUpJobs(ids []string, onResults func(map[string]jobhistory.LookupResult)) {
+	ids = slices.Compact(slices.Sorted(slices.Values(ids)))
+	results := map[string]jobhistory.LookupResult{}
+	if len(ids) == 0 {
+		onResults(results)
+		return
+	}
+	deadline := clock.Now() + syncTimeout
+	for _, id := range ids {
+		controller.lookUpJob(id, deadline, func(result jobhistory.LookupResult) {
+			results[id] = result
+			if len(results) == len(ids) {
+				onResults(results)
+			}
+		})
+	}
+}
+
 // sendLookups sends the next request for jobs that wait to be looked up, if there are any and no request is in
 // flight. The goroutine that it starts ends with the result of that request.
 func (controller *Controller) sendLookups(now clock.Micros) {
--- a/internal/controller/job_status.go
+++ b/internal/controller/job_status.go
@@ -10,7 +10,8 @@
 
 // The status of a job that has ended is sent from the view at once. Another status could be outdated by what
 // another member has confirmed, so the reply waits for a sync of the view. A job that may have been evicted
-// from the view is looked up in the store.
+// from the view is looked up in the store, and so are the job's dependencies that may have been: the job is
+// cancelled if one of them is, and another member may have told a user so.
 
 // maxDependenciesShown bounds how many pending dependencies a job's status lists.
 const maxDependenciesShown = 50
@@ -20,7 +21,15 @@
 	controller.postUserRequest(reply, func() { controller.showJob(id, reply) })
 }
 
+// maxStatusAttempts is how often the status of a job is determined, each time after a look-up of dependencies, before
+// it is sent although some are unknown. Every dependency was accepted, so a look-up that succeeds finds it.
+const maxStatusAttempts = 3
+
 func (controller *Controller) showJob(id string, reply *server.Reply) {
+	controller.showJobWithin(id, reply, maxStatusAttempts)
+}
+
+func (controller *Controller) showJobWithin(id string, reply *server.Reply, attemptsLeft int) {
 	if record := controller.view.Jobs[id]; record != nil && record.HasEnded() {
 		if record.IsFinished() {
 			controller.history.finished.Touch(id)
@@ -33,7 +42,7 @@
 		return
 	}
 	if controller.mayBeEvicted(id) {
-		controller.showEvictedJob(id, reply)
+		controller.showEvictedJob(id, reply, attemptsLeft)
 		return
 	}
 	controller.view.RequestSync(func(err error) {
@@ -41,21 +50,54 @@
 		case err != nil:
 			replyUnavailable(reply, err.Error())
 		case controller.mayBeEvicted(id):
-			controller.showEvictedJob(id, reply) // the job was evicted during the sync
+			controller.showEvictedJob(id, reply, attemptsLeft) // the job was evicted during the sync
 		default:
-			controller.replyStatusFromFreshView(id, reply)
+			controller.replyOnceDependenciesKnown(id, reply, attemptsLeft)
 		}
 	}, clock.Now()+syncTimeout)
 }
 
 // showEvictedJob looks up a job that is not in the view, and replies with its status.
-func (controller *Controller) showEvictedJob(id string, reply *server.Reply) {
+func (controller *Controller) showEvictedJob(id string, reply *server.Reply, attemptsLeft int) {
 	controller.lookUpJob(id, clock.Now()+syncTimeout, func(result jobhistory.LookupResult) {
 		if result == jobhistory.Unavailable {
 			replyUnavailable(reply, reasonStoreUnavailable)
 			return
 		}
+		controller.replyOnceDependenciesKnown(id, reply, attemptsLeft)
+	})
+}
+
+// replyOnceDependenciesKnown replies with a job's status from a view that has just been proven new enough. If a direct
+// or indirect dependency of the job is unknown, it looks the dependency up first and determines the status again.
+func (controller *Controller) replyOnceDependenciesKnown(id string, reply *server.Reply, attemptsLeft int) {
+	unknown := controller.unknownDependenciesOf(id)
+	if len(unknown) == 0 || attemptsLeft <= 1 {
 		controller.replyStatusFromFreshView(id, reply)
+		return
+	}
+	controller.lookUpDependencies(unknown, reply, func() { controller.showJobWithin(id, reply, attemptsLeft-1) })
+}
+
+// unknownDependenciesOf returns the direct and indirect dependencies of a job that have to be looked up before users are
+// told that the job has not ended.
+func (controller *Controller) unknownDependenciesOf(id string) []string {
+	if record := controller.view.Jobs[id]; record == nil || record.HasEnded() {
+		return nil
+	}
+	return controller.dependencyGraph.UnknownDependenciesOf(id)
+}
+
+// lookUpDependencies looks up jobs and calls proceed, or replies 503 if the store gave no result for one of them.
+func (controller *Controller) lookUpDependencies(ids []string, reply *server.Reply, proceed func()) {
+	controller.lookUpJobs(ids, func(results map[string]jobhistory.LookupResult) {
+		for _, result := range results {
+			if result == jobhistory.Unavailable {
+				replyUnavailable(reply, reasonStoreUnavailable)
+				return
+			}
+		}
+		proceed()
 	})
 }
 
--- a/internal/controller/submission.go
+++ b/internal/controller/submission.go
@@ -48,25 +48,16 @@
 			ids = append(ids, id)
 		}
 	}
-	remaining, hasAllResults := len(ids), true
-	if remaining == 0 {
-		proceed(absent)
-		return
-	}
-	for _, id := range ids {
-		controller.lookUpJob(id, clock.Now()+syncTimeout, func(result jobhistory.LookupResult) {
-			hasAllResults = hasAllResults && result != jobhistory.Unavailable
+	controller.lookUpJobs(ids, func(results map[string]jobhistory.LookupResult) {
+		for id, result := range results {
 			absent[id] = result == jobhistory.Absent
-			if remaining--; remaining > 0 {
-				return
-			}
-			if !hasAllResults {
+			if result == jobhistory.Unavailable {
 				replyUnavailable(reply, reasonStoreUnavailable)
 				return
 			}
-			proceed(absent)
-		})
-	}
+		}
+		proceed(absent)
+	})
 }
 
 // admitOrRejectSubmission validates a submission, and writes it if it is valid. Each job that it refers
@@ -175,7 +166,7 @@
 		case record == nil && controller.history.evicted.evictions != evictions:
 			replyUnavailable(reply, "it may have been forgotten meanwhile")
 		case record != nil:
-			reply.Send(200, controller.encodeJobStatus(job.ID, record), 0)
+			controller.replyOnceDependenciesKnown(job.ID, reply, maxStatusAttempts)
 		default:
 			proceed()
 		}
@@ -226,7 +217,7 @@
 			if i > 0 {
 				status = 200
 			}
-			reply.Send(status, encodeStatus(wire.JobStatus{ID: job.ID, State: controller.acceptedState(job.ID)}), 0)
+			controller.replyAccepted(job.ID, status, reply)
 		case kvstore.Conflict:
 			controller.showJob(job.ID, reply)
 		default:
@@ -235,6 +226,23 @@
 	}
 }
 
+// replyAccepted replies to the submission of a job that was just accepted. The job's dependencies were in the view
+// when it was submitted, but may have been evicted while the job was being written; they are looked up again.
+func (controller *Controller) replyAccepted(id string, status int, reply *server.Reply) {
+	send := func() {
+		if controller.view.Jobs[id] == nil {
+			controller.showJob(id, reply) // the job has ended and was evicted
+			return
+		}
+		reply.Send(status, encodeStatus(wire.JobStatus{ID: id, State: controller.acceptedState(id)}), 0)
+	}
+	if unknown := controller.unknownDependenciesOf(id); len(unknown) > 0 {
+		controller.lookUpDependencies(unknown, reply, send)
+		return
+	}
+	send()
+}
+
 // applySubmission adds an accepted job to the view. The watch would deliver it later, but a leader need
 // not wait for that.
 func (controller *Controller) applySubmission(job *wire.Job, record *storeview.Job) {
--- a/internal/dag/graph.go
+++ b/internal/dag/graph.go
@@ -125,7 +125,10 @@
 func (n *node) hasEnded() bool { return n.stage == stageDone || n.stage == stageCancelled }
 
 // Graph holds the jobs of one view of the key-value store.
-type Graph struct{ nodes map[string]*node }
+type Graph struct {
+	nodes        map[string]*node
+	unknownCount int // nodes in stageUnknown
+}
 
 // New returns an empty graph.
 func New() *Graph { return &Graph{nodes: map[string]*node{}} }
@@ -140,10 +143,19 @@
 	if jobNode == nil {
 		jobNode = &node{id: id, urgency: lowestUrgency}
 		graph.nodes[id] = jobNode
+		graph.unknownCount++
 	}
 	return jobNode
 }
 
+// setStage changes the stage of a job.
+func (graph *Graph) setStage(jobNode *node, stage stage) {
+	if jobNode.stage == stageUnknown {
+		graph.unknownCount--
+	}
+	jobNode.stage = stage
+}
+
 // AddJob adds an unfinished job. Adding a job twice, or after its end, has no effect.
 func (graph *Graph) AddJob(job Job) Effects {
 	jobNode := graph.ensureNode(job.ID)
@@ -151,7 +163,7 @@
 	if jobNode.stage != stageUnknown {
 		return effects
 	}
-	jobNode.stage = stageUnfinished
+	graph.setStage(jobNode, stageUnfinished)
 	jobNode.submittedAt, jobNode.estimatedRunTime = job.SubmittedAt, job.EstimatedRunTime
 	jobNode.releasedAt = max(jobNode.releasedAt, job.SubmittedAt)
 	jobNode.urgency = jobNode.urgency.Merge(job.Urgency)
@@ -194,6 +206,7 @@
 func (graph *Graph) removeIfUnreferenced(jobNode *node) {
 	if jobNode.stage == stageUnknown && len(jobNode.dependents) == 0 {
 		delete(graph.nodes, jobNode.id)
+		graph.unknownCount--
 	}
 }
 
@@ -217,7 +230,8 @@
 	if jobNode.hasEnded() {
 		return effects
 	}
-	jobNode.stage, jobNode.releasedAt = stageDone, completedAt
+	graph.setStage(jobNode, stageDone)
+	jobNode.releasedAt = completedAt
 	graph.dropDependencies(jobNode) // there are some if a dependency has not been looked up yet
 	for _, dependentNode := range graph.takeDependents(jobNode) {
 		dependentNode.releasedAt = max(dependentNode.releasedAt, completedAt)
@@ -250,7 +264,7 @@
 		if jobNode.hasEnded() {
 			continue
 		}
-		jobNode.stage = stageCancelled
+		graph.setStage(jobNode, stageCancelled)
 		effects.Cancelled = append(effects.Cancelled, id)
 		graph.dropDependencies(jobNode)
 		for _, dependentNode := range graph.takeDependents(jobNode) {
@@ -320,6 +334,35 @@
 	}
 }
 
+// UnknownDependenciesOf returns, in sorted order, the direct and indirect dependencies of a job of which no record has
+// been seen. Until they are known, the job may be cancelled with one of them. The cost is that of a map look-up if the
+// graph has no unknown job, and otherwise grows with the job's unfinished dependencies.
+func (graph *Graph) UnknownDependenciesOf(id string) []string {
+	jobNode := graph.nodes[id]
+	if jobNode == nil || graph.unknownCount == 0 {
+		return nil
+	}
+	var unknown []string
+	seen := map[string]bool{id: true}
+	for work := []*node{jobNode}; len(work) > 0; {
+		last := work[len(work)-1]
+		work = work[:len(work)-1]
+		for dependency := range last.dependencies {
+			if seen[dependency] {
+				continue
+			}
+			seen[dependency] = true
+			if dependencyNode := graph.nodes[dependency]; dependencyNode.stage == stageUnknown {
+				unknown = append(unknown, dependency)
+			} else {
+				work = append(work, dependencyNode)
+			}
+		}
+	}
+	slices.Sort(unknown)
+	return unknown
+}
+
 // UnknownDependencies returns, in sorted order, the dependencies of which no record has been seen.
 func (graph *Graph) UnknownDependencies() []string {
 	var ids []string
--- a/internal/dag/invariant_test.go
+++ b/internal/dag/invariant_test.go
@@ -13,7 +13,11 @@
 // checkInvariant checks that every edge has both ends and joins jobs that have not ended.
 func checkInvariant(t *rapid.T, graph *Graph) {
 	t.Helper()
+	if unknown := graph.UnknownDependencies(); len(unknown) != graph.unknownCount {
+		t.Fatalf("got a count of %d unknown jobs, want that of %v", graph.unknownCount, unknown)
+	}
 	for id, jobNode := range graph.nodes {
+		checkUnknownDependencies(t, graph, id)
 		if edges := len(jobNode.dependencies) + len(jobNode.dependents); jobNode.hasEnded() && edges > 0 {
 			t.Fatalf("%s has ended and has %d edges, want none", id, edges)
 		}
@@ -37,6 +41,33 @@
 	}
 }
 
+// checkUnknownDependencies compares the unknown dependencies of a job with those found one edge at a time.
+func checkUnknownDependencies(t *rapid.T, graph *Graph, id string) {
+	t.Helper()
+	want := map[string]bool{}
+	var visit func(id string)
+	visit = func(id string) {
+		for dependency := range graph.nodes[id].dependencies {
+			if graph.nodes[dependency].stage == stageUnknown {
+				want[dependency] = true
+			}
+			visit(dependency)
+		}
+	}
+	visit(id)
+	if got := graph.UnknownDependenciesOf(id); !slices.Equal(got, toSet(want).sorted()) {
+		t.Fatalf("%s: got unknown dependencies %v, want %v", id, got, want)
+	}
+}
+
+func toSet(ids map[string]bool) jobSet {
+	var set jobSet
+	for id := range ids {
+		set.add(id)
+	}
+	return set
+}
+
 func hasEdge(set jobSet, id string) bool {
 	_, exists := set[id]
 	return exists
