Judge the known-red list over all runs of the tests, and list scripts in it

What was seen: test.sh makes three runs, and each failed on a listed test that it doesn't play, so that only an entry of the fleet's test could ever pass. Scripts could be listed in comments only.

Each run excuses the listed tests that fail in it and prints them. After the last one an entry is stale if its test passed in a run and failed in none, or if no run played it. A listed test that is skipped fails its run.

--- a/internal/ci/knownred/knownred.go
+++ b/internal/ci/knownred/knownred.go
@@ -1,6 +1,9 @@
-// Package knownred compares the result of a test run with KNOWN-RED.txt, a list of at most three
+// Package knownred compares the results of test runs with KNOWN-RED.txt, a list of at most three
 // tests that may fail because of a known fault that is not fixed yet. The package reads the list and
 // the events of `go test -json` from readers; it opens no files and starts no processes.
+//
+// One check of the sources may take several runs, each of some tests. A run excuses the listed tests that fail in
+// it. Whether an entry is stale follows from all runs together.
 package knownred
 
 import (
@@ -16,10 +19,16 @@
 // MaxEntries is the largest number of tests that the list may hold.
 const MaxEntries = 3
 
-// Entry is one line of the list: "PACKAGE.TEST | CAUSE | ISSUE".
+// scriptPrefix begins the first field of an entry for a script.
+const scriptPrefix = "script "
+
+// Entry is one line of the list: "PACKAGE.TEST | CAUSE | ISSUE", or "script COMMAND | CAUSE | ISSUE" for a test that is
+// not a Go test. No run plays a script; it is listed so that it is known and printed.
 type Entry struct {
-	// Test is the package path and the name of the test, joined by a dot.
+	// Test is the package path and the name of the test, joined by a dot, or a script's path and arguments.
 	Test string
+	// IsScript is whether Test is a script.
+	IsScript bool
 	// Cause says why the test fails.
 	Cause string
 	// Issue names the issue that tracks the fault.
@@ -71,7 +80,20 @@
 	if len(fields) != fieldsPerLine || slices.Contains(fields, "") {
 		return Entry{}, fmt.Errorf("%w: %q", ErrMalformed, line)
 	}
-	return Entry{Test: fields[0], Cause: fields[1], Issue: fields[2]}, nil
+	entry := Entry{Test: fields[0], Cause: fields[1], Issue: fields[2]}
+	if script, isScript := strings.CutPrefix(entry.Test, scriptPrefix); isScript {
+		entry.Test, entry.IsScript = strings.TrimSpace(script), true
+	}
+	if !entry.IsScript && !strings.Contains(entry.Test, ".") || strings.ContainsAny(entry.Test, " \t") && !entry.IsScript {
+		return Entry{}, fmt.Errorf("%w: %q names neither a test nor a script", ErrMalformed, line)
+	}
+	return entry, nil
+}
+
+// ScriptPath returns the path of a script, without its arguments.
+func (entry *Entry) ScriptPath() string {
+	path, _, _ := strings.Cut(entry.Test, " ")
+	return path
 }
 
 // Values of testEvent.Action.
@@ -113,14 +135,25 @@
 	UnexpectedFailures []string
 	// KnownFailures are the listed tests that failed. They don't fail the run.
 	KnownFailures []Entry
-	// StaleEntries are the listed tests that passed, were skipped or did not run. They fail the run.
-	StaleEntries []Entry
+	// PassedEntries are the listed tests that passed. They fail no run, but see StaleEntries.
+	PassedEntries []Entry
+	// SkippedEntries are the listed tests that were skipped. They fail the run: a listed test has to be played.
+	SkippedEntries []Entry
 }
 
-// IsSuccess reports whether the run passes: only listed tests failed, each listed test failed, and
-// at least one test passed.
+// IsSuccess reports whether the run passes: only listed tests failed, none of them was skipped, and at least one
+// test passed or failed as listed.
 func (result *Result) IsSuccess() bool {
-	return len(result.UnexpectedFailures) == 0 && len(result.StaleEntries) == 0 && result.Passed > 0
+	return len(result.UnexpectedFailures) == 0 && len(result.SkippedEntries) == 0 && result.Passed+len(result.KnownFailures) > 0
+}
+
+// StaleEntries returns the entries that the list has to lose after these runs: those of tests that passed in a run that
+// played them and failed in none, and those of tests that no run played. Scripts are never stale.
+func StaleEntries(entries []Entry, results []*Result) []Entry {
+	return slices.DeleteFunc(slices.Clone(entries), func(entry Entry) bool {
+		hasFailed := slices.ContainsFunc(results, func(result *Result) bool { return slices.Contains(result.KnownFailures, entry) })
+		return entry.IsScript || hasFailed
+	})
 }
 
 // resultCollector collects the events of a run. It names tests as Entry.Test does. It adds the
@@ -129,6 +162,8 @@
 	out                 io.Writer           // receives the output of packages and of failed tests
 	testOutputs         map[string][]string // lines of output, by test; a test that passes is removed
 	failedTests         map[string]bool
+	passedTests         map[string]bool
+	skippedTests        map[string]bool
 	failedPackages      map[string]bool
 	inexcusablePackages map[string]bool // packages whose output isInexcusableOutput matched
 	result              Result
@@ -139,7 +174,7 @@
 // remaining events, because the process that writes them would otherwise block on a full pipe.
 func Judge(events io.Reader, entries []Entry, out io.Writer) (*Result, error) {
 	collector := &resultCollector{
-		out: out, testOutputs: map[string][]string{}, failedTests: map[string]bool{},
+		out: out, testOutputs: map[string][]string{}, failedTests: map[string]bool{}, passedTests: map[string]bool{}, skippedTests: map[string]bool{},
 		failedPackages: map[string]bool{}, inexcusablePackages: map[string]bool{},
 	}
 	decoder := json.NewDecoder(events)
@@ -163,11 +198,13 @@
 	case actionPass:
 		if event.isTopLevel() {
 			collector.result.Passed++
+			collector.passedTests[event.topLevelTest()] = true
 			delete(collector.testOutputs, event.topLevelTest())
 		}
 	case actionSkip:
 		if event.isTopLevel() {
 			collector.result.Skipped++
+			collector.skippedTests[event.topLevelTest()] = true
 		}
 	case actionFail:
 		collector.recordFailure(event)
@@ -212,11 +249,17 @@
 func (collector *resultCollector) buildResult(entries []Entry) *Result {
 	listed := map[string]bool{}
 	for _, entry := range entries {
+		if entry.IsScript {
+			continue
+		}
 		listed[entry.Test] = true
-		if collector.failedTests[entry.Test] {
+		switch {
+		case collector.failedTests[entry.Test]:
 			collector.result.KnownFailures = append(collector.result.KnownFailures, entry)
-		} else {
-			collector.result.StaleEntries = append(collector.result.StaleEntries, entry)
+		case collector.skippedTests[entry.Test]:
+			collector.result.SkippedEntries = append(collector.result.SkippedEntries, entry)
+		case collector.passedTests[entry.Test]:
+			collector.result.PassedEntries = append(collector.result.PassedEntries, entry)
 		}
 	}
 	packagesWithFailedTests := map[string]bool{}
--- a/test.sh
+++ b/test.sh
@@ -17,8 +17,10 @@
 go tool go-errorlint ./...
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/service.toml)
 sh -c "$build"
-go run ./internal/ci/runtests -race -count=1 -timeout 10m ./...
-# Everything in simulated time once more, with replicas of the leader's allocation table.
-go run ./internal/ci/runtests -count=1 -timeout 10m ./internal/sim -standby
-# A large fleet with replicas, as is the default. The race detector can't follow the goroutines of thousands of fake workers.
-go run ./internal/ci/runtests -count=1 -timeout 10m ./internal/sim -run TestLargeFleet -fleet-sizes 4000 -standby
+# Three runs: all tests with the race detector; everything in simulated time once more, with replicas of the leader's
+# allocation table; and a large fleet with replicas, as is the default. The race detector can't follow the goroutines of
+# thousands of fake workers.
+go run ./internal/ci/runtests \
+	-race -count=1 -timeout 10m ./... \
+	--next -count=1 -timeout 10m ./internal/sim -standby \
+	--next -count=1 -timeout 10m ./internal/sim -run TestLargeFleet -fleet-sizes 4000 -standby
