kvstore: an undefined status of a transaction leaves its outcome unknown

What could be seen: a 500, 502 or 504 counted as "not executed". If the transaction was executed all the same, its caller went on as if it weren't: a user was told to retry, a start's record was taken for missing.

Cause: the default of the switch on statuses was meant for 503, the only one that PROTOCOL says this of ("503: the request was not executed").

Any other status now gives Unknown, as no response does; callers read the key before they go on. TestUndefinedStatusOfTransactionIsUnknownOutcome: before, not_executed for 404, 500, 502 and 504 while the key had been written.

--- a/internal/kvstore/errors_test.go
+++ b/internal/kvstore/errors_test.go
@@ -2,9 +2,37 @@
 
 import (
 	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+
+	"firwood.dev/firwood/internal/client"
+	"firwood.dev/firwood/internal/fake"
 )
 
+// Guards against an executed write that its caller takes for one that was not: the store, or what stands before it,
+// executes a transaction and answers with a status that PROTOCOL doesn't define. Only a 503 says that nothing happened.
+func TestUndefinedStatusOfTransactionIsUnknownOutcome(t *testing.T) {
+	for status, want := range map[int]Outcome{500: Unknown, 502: Unknown, 504: Unknown, 404: Unknown, 503: NotExecuted} {
+		fakeStore, stop := fake.NewStore()
+		t.Cleanup(stop)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if status != http.StatusServiceUnavailable {
+				fakeStore.ServeHTTP(httptest.NewRecorder(), r)
+			}
+			w.WriteHeader(status)
+		}))
+		t.Cleanup(server.Close)
+		store := New(client.DialTCP, strings.TrimPrefix(server.URL, "http://"), Limits{RPS: 1000, WriteRPS: 1000, MaxTransactionOps: 16}, "lock")
+		outcomes := make(chan Outcome, 1)
+		store.Commit(&Write{Changes: putChange("a/b", `{}`), Done: func(outcome Outcome, _ uint64) { outcomes <- outcome }})
+		if got := <-outcomes; got != want {
+			t.Errorf("status %d: got outcome %s, want %s; the key's value is %q", status, got, want, fakeStore.Value("a/b"))
+		}
+	}
+}
+
 // An unexpected status of a response gives an ErrRejected that carries the status.
 func TestStatusErrorIsRejected(t *testing.T) {
 	store, fakeStore := newTestClient(t)
--- a/internal/kvstore/transaction.go
+++ b/internal/kvstore/transaction.go
@@ -83,9 +83,12 @@
 	case statusBadRequest:
 		store.commitSeparately(batch)
 		return nil
-	default: // 503; PROTOCOL defines no other status for transactions
+	case statusServiceUnavailable:
 		completeWrites(batch, NotExecuted, 0)
 		return nil
+	default: // PROTOCOL defines no other status, so it doesn't say that nothing was executed
+		completeWrites(batch, Unknown, 0)
+		return nil
 	}
 }
 
