storeview: reject a job's record with neither a submission nor a state

What could be seen: such a record, which no version writes, ended every process that read it, since an active job's submission is read without a check.

The view rejects it like a record that can't be decoded, and keeps what it has of the job. TestEmptyJobRecordIsRejected: before, the view took it in place of a done job. Three older tests used {"at":1} as the record of an active job; they have {"j":{},"at":1} now, which is as strict: an active record is one with a submission.

--- a/internal/storeview/apply.go
+++ b/internal/storeview/apply.go
@@ -13,6 +13,7 @@
 
 var (
 	errMalformedKey   = errors.New("the key does not end in a job id, a slash and a number")
+	errEmptyJob       = errors.New("the record has neither a submission nor a state")
 	errTaskOutOfRange = errors.New("the first task's number is below 0 or not below the maximum number of tasks")
 )
 
@@ -130,6 +131,9 @@
 	if err := job.UnmarshalJSON(value); err != nil {
 		return err
 	}
+	if job.Spec == nil && job.State == "" {
+		return errEmptyJob
+	}
 	job.Version = version
 	if known := view.Jobs[id]; known != nil && known.Version >= version {
 		return nil
--- a/internal/storeview/view_test.go
+++ b/internal/storeview/view_test.go
@@ -65,6 +65,21 @@
 	return observer.view, observer
 }
 
+// Guards against a process that ends on a job's record with neither a submission nor a state, which says nothing of the
+// job: the record is rejected, and what the view has of the job stays.
+func TestEmptyJobRecordIsRejected(t *testing.T) {
+	view, observer := newTestView()
+	key := records.JobKey("req-000001")
+	view.ApplyPut(key, []byte(`{"at":5,"s":"done"}`), 7)
+	for i, value := range []string{`{}`, `{"at":5}`, `{"j":null,"at":5,"p":2}`} {
+		observer.reports = nil
+		view.ApplyPut(key, []byte(value), uint64(8+i))
+		if want := []string{"rejected " + key}; !slices.Equal(observer.reports, want) || view.Jobs["req-000001"].Version != 7 {
+			t.Errorf("record %s: got reports %q and version %d, want %q and 7", value, observer.reports, view.Jobs["req-000001"].Version, want)
+		}
+	}
+}
+
 // The view reports what it reads under each kind of key. A key or value that cannot be decoded is
 // reported as rejected; an in-sync record that cannot be decoded is also reported as an empty one.
 func TestPutsAreReportedOrRejected(t *testing.T) {
@@ -84,7 +99,7 @@
 		{records.TokenKey, `{}`, nil},
 		{records.WorkerContactKey("c"), `{"n":4}`, []string{"4 workers contact c"}},
 		{records.WorkerContactKey("c"), `x`, []string{"rejected firwood/asked/c"}},
-		{records.JobKey("req-000001"), `{"at":1}`, []string{"job req-000001@7"}},
+		{records.JobKey("req-000001"), `{"j":{},"at":1}`, []string{"job req-000001@7"}},
 		{records.JobKey("req-000001"), `x`, []string{"rejected firwood/job/req-000001"}},
 		{records.DependenciesKey("req-000001", 0), `{"a":["req-000002"]}`, nil},
 		{records.DependenciesPrefix + "req-000001", `{"a":[]}`, []string{"rejected firwood/needs/req-000001"}},
@@ -110,13 +125,13 @@
 	view, observer := newTestView()
 	key := records.JobKey("req-000001")
 	view.SetJob("req-000001", &Job{Version: 9})
-	view.ApplyPut(key, []byte(`{"at":1}`), 9)
-	view.ApplyPut(key, []byte(`{"at":1}`), 8)
-	applied := view.Apply(&wire.WatchResponse{Revision: 12, Events: []wire.WatchEvent{{Version: 10, PutKey: key, Value: []byte(`{"at":2}`)}}})
+	view.ApplyPut(key, []byte(`{"j":{},"at":1}`), 9)
+	view.ApplyPut(key, []byte(`{"j":{},"at":1}`), 8)
+	applied := view.Apply(&wire.WatchResponse{Revision: 12, Events: []wire.WatchEvent{{Version: 10, PutKey: key, Value: []byte(`{"j":{},"at":2}`)}}})
 	if applied != 1 || view.Revision != 12 {
 		t.Errorf("Apply of an event at revision 10: got %d applied and view revision %d, want 1 and 12", applied, view.Revision)
 	}
-	applied = view.Apply(&wire.WatchResponse{Revision: 12, Events: []wire.WatchEvent{{Version: 12, PutKey: key, Value: []byte(`{"at":3}`)}}})
+	applied = view.Apply(&wire.WatchResponse{Revision: 12, Events: []wire.WatchEvent{{Version: 12, PutKey: key, Value: []byte(`{"j":{},"at":3}`)}}})
 	if applied != 0 {
 		t.Errorf("Apply of an event at the view's revision: got %d applied, want 0", applied)
 	}
@@ -161,7 +176,7 @@
 	view, _ := newTestView()
 	view.ApplyPut(records.ScaleOutKey("a-1"), []byte(`{}`), 4)
 	view.ApplyPut(records.LockKey, []byte(`{"m":"b"}`), 4)
-	view.ApplyPut(records.JobKey("req-000001"), []byte(`{"at":1}`), 4)
+	view.ApplyPut(records.JobKey("req-000001"), []byte(`{"j":{},"at":1}`), 4)
 	filter := NewLoadFilter(1)
 	filter.Add([]wire.KeyValue{
 		{Key: records.JobKey("req-000002"), Value: []byte(`{"at":1,"s":"done","e":2}`), Version: 5},
