scheduler: a gang's reservation keeps what the plan has reserved before

What could be seen: a job whose starts are not recorded yet had its room on a machine given to a later job, and waited.

Cause: reserveForGang set the machine's reserved amounts in place of adding to them.

The gang gets at most what is neither used nor reserved, in addition. TestGangReservationKeepsEarlierReservations (5 CPUs without recorded starts, a gang of 4 CPUs and 2 GPUs, then 10 CPUs, on 16): before, the last job was placed.

--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -176,7 +176,9 @@
 		cycle.stopPlacement(placement)
 		available = available.Add(placement.Job.Request)
 	}
-	cycle.reserved[machine.SortIndex] = componentMin(wanted, machine.Free())
+	// The amounts can be negative, which reserves nothing: another version may have placed more than fits.
+	unreserved := componentMax(cycle.freeResources(machine), allocation.Resources{})
+	cycle.reserve(machine, componentMin(wanted, unreserved))
 }
 
 // placeOnSlots places a gang on slots that are free. If the job's starts are not recorded yet, it
--- a/internal/scheduler/gang_test.go
+++ b/internal/scheduler/gang_test.go
@@ -173,6 +173,29 @@
 	}
 }
 
+// Guards against room that a plan gives away twice: a gang's reservation on a machine replaced what the plan had
+// reserved there for a job whose starts are not recorded yet, and a later job took that room.
+func TestGangReservationKeepsEarlierReservations(t *testing.T) {
+	fixture := newFixture(map[string]allocation.TeamQuota{"a": {}})
+	machine := fixture.addMachine("i-0", "big", "x", false)
+	busy := fixture.addJob(wire.Job{ID: "req-000001", Team: "a", TaskCount: 1, GPUs: 1, EstimatedRunSeconds: 20})
+	if err := fixture.tracker.PlaceTask(busy, 0, machine, fixture.tracker.NextAttempt(), fixture.now); err != nil {
+		t.Fatal(err)
+	}
+	fixture.reportTasks(machine, wire.TaskRunning)
+	for _, zone := range []string{"x", "y", "z"} {
+		fixture.scheduler.ObserveEmptyPool(Pool{"big", zone, false}, fixture.now+10*clock.Second)
+	}
+	first := fixture.tracker.AddJob(&wire.Job{ID: "req-000002", Team: "a", Kind: wire.KindArray, Priority: wire.PriorityProduction, TaskCount: 1, CPUs: 5, MemoryGB: 5, EstimatedRunSeconds: 60}, fixture.now, fixture.now, false, nil)
+	fixture.addJob(wire.Job{ID: "req-000003", Team: "a", Kind: wire.KindGang, Priority: wire.PriorityHigh, TaskCount: 1, CPUs: 4, GPUs: 2, EstimatedRunSeconds: 60})
+	last := fixture.addJob(wire.Job{ID: "req-000004", Team: "a", Priority: wire.PriorityLow, TaskCount: 1, CPUs: 10, EstimatedRunSeconds: 60})
+	fixture.now += 18 * clock.Second
+	decision := fixture.plan()
+	if len(decision.RecordStarts) != 1 || decision.RecordStarts[0] != first || last.ActiveCount() != 0 {
+		t.Errorf("got starts to record %v and %d tasks of the last job placed, want those of the first job and none: 5 of 16 CPUs are reserved for it and 4 for the gang", decision.RecordStarts, last.ActiveCount())
+	}
+}
+
 // A gang that is too large for any possible fleet must wait without cost: once every pool has been
 // found empty, no machine may be requested for part of the gang. Other jobs must still be placed.
 func TestNoScaleOutForInfeasibleGang(t *testing.T) {
--- a/internal/scheduler/resources.go
+++ b/internal/scheduler/resources.go
@@ -34,6 +34,10 @@
 	return need
 }
 
+func componentMax(a, b allocation.Resources) allocation.Resources {
+	return allocation.Resources{MilliCPU: max(a.MilliCPU, b.MilliCPU), MilliGPU: max(a.MilliGPU, b.MilliGPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), ReportBytes: max(a.ReportBytes, b.ReportBytes)}
+}
+
 func componentMin(a, b allocation.Resources) allocation.Resources {
 	return allocation.Resources{MilliCPU: min(a.MilliCPU, b.MilliCPU), MilliGPU: min(a.MilliGPU, b.MilliGPU), MemoryMB: min(a.MemoryMB, b.MemoryMB), ReportBytes: min(a.ReportBytes, b.ReportBytes)}
 }
