scheduler: a replacement that can't be placed yet doesn't stop its waiting gang

What could be seen: a gang lost a task before it was complete; the only machine with room still listed that task as exited; the whole gang was stopped, and what its tasks had fetched was lost.

Cause: placeOnSlots stopped the job on any refused placement, also of replacements.

A replacement that is refused is left to a later plan; the others keep waiting in their attempt. A gang that begins an attempt still starts whole or not at all. TestGangIsNotStoppedForReplacementThatCannotBePlaced: before, the waiting task was being stopped.

--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -191,19 +191,24 @@
 		}
 		return len(queued.readyTasks)
 	}
-	attempt := job.GangAttempt
-	if attempt == 0 {
+	attempt, isReplacement := job.GangAttempt, job.GangAttempt != 0
+	if !isReplacement {
 		attempt = cycle.tracker.NextAttempt()
 	}
-	unplaced := queued.readyTasks
+	unplaced, placed := queued.readyTasks, 0
 	for _, slot := range slots {
 		for _, taskIndex := range unplaced[:slot.taskCount] {
-			if cycle.tracker.PlaceTask(job, taskIndex, slot.machine, attempt, cycle.now) != nil {
+			switch {
+			case cycle.tracker.PlaceTask(job, taskIndex, slot.machine, attempt, cycle.now) == nil:
+				placed++
+			case isReplacement:
+				// The tasks that wait keep what they have fetched; a later plan places the replacement.
+			default:
 				cycle.tracker.StopJob(job, 0) // the gang can't start whole, so stop the tasks placed in this attempt
 				return 0
 			}
 		}
 		unplaced = unplaced[slot.taskCount:]
 	}
-	return len(queued.readyTasks)
+	return placed
 }
--- a/internal/scheduler/gang_test.go
+++ b/internal/scheduler/gang_test.go
@@ -173,6 +173,36 @@
 	}
 }
 
+// Guards against a waiting gang that is stopped as a whole because a replacement can't be placed yet: the only machine
+// with room still lists the lost task as exited. The others keep waiting, and the task follows in the same attempt.
+func TestGangIsNotStoppedForReplacementThatCannotBePlaced(t *testing.T) {
+	fixture := newFixture(map[string]allocation.TeamQuota{"a": {}})
+	for i := range 2 {
+		fixture.addMachine(fmt.Sprintf("i-%d", i), "big", "x", false)
+	}
+	gang := fixture.addJob(wire.Job{ID: "req-000001", Team: "a", Kind: wire.KindGang, TaskCount: 2, CPUs: 10, GPUs: 2, EstimatedRunSeconds: 60})
+	fixture.plan()
+	attempt := gang.GangAttempt
+	for _, machine := range fixture.tracker.SortedMachines() {
+		fixture.reportTasks(machine, wire.TaskWaitingForGang)
+	}
+	machine := gang.Tasks[0].Placement.Machine
+	report := func(tasks ...wire.TaskStatus) {
+		fixture.heartbeatSeqs[machine.Name] += 2
+		fixture.tracker.RecordHeartbeat(machine, &wire.Heartbeat{MachineID: machine.Name, Incarnation: 1, Sequence: fixture.heartbeatSeqs[machine.Name], FencingToken: 1, Tasks: tasks}, fixture.now)
+	}
+	report(wire.TaskStatus{TaskID: wire.TaskID("req-000001", 0), Attempt: attempt, State: wire.TaskExited, ExitCause: wire.ExitNoResources})
+	fixture.plan()
+	if gang.ActiveCount() != 1 || stoppingCount(gang) != 0 || gang.GangAborting {
+		t.Fatalf("while the task is listed as exited: got %d tasks placed, %d stopping, want 1 and 0", gang.ActiveCount(), stoppingCount(gang))
+	}
+	report()
+	fixture.plan()
+	if gang.ActiveCount() != 2 || gang.GangAttempt != attempt {
+		t.Errorf("after the task is reaped: got %d tasks placed in attempt %d, want 2 in attempt %d", gang.ActiveCount(), gang.GangAttempt, attempt)
+	}
+}
+
 // Guards against room that a plan gives away twice: a gang's reservation on a machine replaced what the plan had
 // reserved there for a job whose starts are not recorded yet, and a later job took that room.
 func TestGangReservationKeepsEarlierReservations(t *testing.T) {
