Remove jobs from the view that finished while their changes were missed

What could be seen: a controller that was cut off from the store, and whose missed changes the store no longer has, showed a job as active for good after others had said done, if more jobs than it caches had ended since.

Cause: a reload reads the newest finished jobs only, and kept every job in memory of which it read nothing newer.

Why this works: keys of jobs are never deleted but to be archived, and every unfinished record is read. So an unfinished job that isn't listed, and whose record is no newer than the read, has finished. It is handled as evicted: looked up on demand, and unknown to the dependency graph (Graph.Forget) till then.

TestLoadReplacesContentsAndKeepsJobs expected that an unfinished job which the store doesn't list stays, which is the fault; it checks the five cases apart now.

--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -66,11 +66,16 @@
 }
 
 func (controller *Controller) applyLoad(filter *storeview.LoadFilter, revision uint64) {
-	dropped, ok := controller.view.Load(filter, revision)
+	result, ok := controller.view.Load(filter, revision)
 	if !ok {
 		return
 	}
-	controller.recountEvicted(filter.FinishedCounts, dropped)
+	for _, id := range result.Removed {
+		controller.recordEviction()
+		controller.users.progressCounts.Remove(id)
+		controller.dependencyGraph.Forget(id)
+	}
+	controller.recountEvicted(filter.FinishedCounts, result.Dropped)
 	controller.lookUpUnknownDependencies()
 	controller.observeLock()
 	controller.log.Info("store loaded", "revision", revision, "jobs", len(controller.view.Jobs))
--- a/internal/dag/graph.go
+++ b/internal/dag/graph.go
@@ -334,6 +334,19 @@
 	}
 }
 
+// Forget makes a job unknown that has ended, as its record tells that is not at hand. The jobs that depend on it are
+// blocked until its end is recorded. It has no effect on a job whose end is recorded.
+func (graph *Graph) Forget(id string) {
+	jobNode := graph.nodes[id]
+	if jobNode == nil || jobNode.stage != stageUnfinished {
+		return
+	}
+	graph.dropDependencies(jobNode)
+	jobNode.stage = stageUnknown
+	graph.unknownCount++
+	graph.removeIfUnreferenced(jobNode)
+}
+
 // UnknownDependenciesOf returns, in sorted order, the direct and indirect dependencies of a job of which no record has
 // been seen. Until they are known, the job may be cancelled with one of them. The cost is that of a map look-up if the
 // graph has no unknown job, and otherwise grows with the job's unfinished dependencies.
--- a/internal/dag/invariant_test.go
+++ b/internal/dag/invariant_test.go
@@ -107,7 +107,7 @@
 // step applies one drawn record, removal or look-up to the graph.
 func (history *evictionHistory) step(t *rapid.T) {
 	graph := history.graph
-	action := rapid.IntRange(0, 5).Draw(t, "action")
+	action := rapid.IntRange(0, 6).Draw(t, "action")
 	if action == 0 || len(history.jobs) == 0 {
 		history.addJob(t)
 		return
@@ -128,6 +128,8 @@
 		graph.RecordCompletion(job.ID, 300)
 	case action == 4 && history.ends[job.ID] == stageCancelled:
 		graph.RecordCancellation(job.ID)
+	case action == 6 && history.ends[job.ID] != stageUnknown:
+		graph.Forget(job.ID)
 	case action == 5 && (history.ends[job.ID] == stageUnknown || rapid.Bool().Draw(t, "its submission is seen late")):
 		graph.AddJob(*job)
 	}
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -22,6 +22,7 @@
 	revision       uint64
 	keys           map[string]*storedValue
 	changeLog      []changeRecord
+	compactedAt    uint64             // the revision up to which the change log was discarded
 	transactions   []wire.Transaction // applied transactions that have at least one change
 	leases         map[uint64]*storeLease
 	lastLeaseID    uint64
@@ -95,6 +96,13 @@
 	store.cond.Broadcast()
 }
 
+// Compact discards the log of all changes so far. Watches from an earlier revision are then answered with 410.
+func (store *Store) Compact() {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.compactedAt, store.changeLog = store.revision, nil
+}
+
 // Keys returns the sorted keys that begin with a prefix.
 func (store *Store) Keys(prefix string) []string {
 	store.mu.Lock()
--- a/internal/fake/store_http.go
+++ b/internal/fake/store_http.go
@@ -160,6 +160,10 @@
 		writeJSON(w, 400, struct{}{})
 		return
 	}
+	if since < store.compactedAt {
+		writeJSON(w, 410, struct{}{})
+		return
+	}
 	deadline, prefix := time.Now().Add(time.Duration(blockMs)*time.Millisecond), query.Get("under")
 	for !store.isClosed() {
 		response := wire.WatchResponse{Revision: store.revision, Events: []wire.WatchEvent{}}
--- a/internal/leader/cancelled_jobs.go
+++ b/internal/leader/cancelled_jobs.go
@@ -16,10 +16,11 @@
 // late, after the record was moved to the archive, it must not restore the record.
 func (shrinker *cancelledJobShrinker) shrinkIfVacated(id string, job *allocation.Job, jobInfo *jobState) {
 	term := shrinker.term
-	if !term.tracker.IsVacated(job) {
-		return
+	current := term.environment.View.Jobs[id]
+	if current == nil || !term.tracker.IsVacated(job) {
+		return // without a record in the view, another leader has removed the submission
 	}
-	record := *term.environment.View.Jobs[id]
+	record := *current
 	record.Spec = nil
 	value, err := record.MarshalJSON()
 	if err != nil {
--- a/internal/storeview/load.go
+++ b/internal/storeview/load.go
@@ -60,12 +60,20 @@
 	return append(filter.others, newest...), dropped
 }
 
-// Load replaces the view's contents with what filter kept of the store as of revision, and returns how
-// many finished jobs the filter dropped. Jobs that the view already holds stay unless the filter has a
-// newer record of them. If the view is newer than revision, Load changes nothing and ok is false.
-func (view *View) Load(filter *LoadFilter, revision uint64) (dropped int, ok bool) {
+// LoadResult says which jobs of the store the view lacks after a Load.
+type LoadResult struct {
+	// Dropped is how many finished jobs the filter dropped.
+	Dropped int
+	// Removed are the jobs that the view held as unfinished and whose record the filter dropped, or that are in the
+	// archive: they have finished meanwhile. They are no longer in the view.
+	Removed []string
+}
+
+// Load replaces the view's contents with what filter kept of the store as of revision. Finished jobs that the view
+// already holds stay. If the view is newer than revision, Load changes nothing and ok is false.
+func (view *View) Load(filter *LoadFilter, revision uint64) (result LoadResult, ok bool) {
 	if view.IsLoaded && revision < view.Revision {
-		return 0, false
+		return LoadResult{}, false
 	}
 	// Keys may have been deleted while no watch was open, so their contents are cleared first. The
 	// keys of jobs are never deleted, except to be moved to the archive, and neither are the records of
@@ -77,10 +85,32 @@
 	view.Terms.Reset()
 	view.HasArchive = false
 	items, dropped := filter.keptItems()
+	result = LoadResult{Dropped: dropped, Removed: view.removeUnlisted(items, revision)}
 	for i := range items {
 		view.ApplyPut(items[i].Key, items[i].Value, items[i].Version)
 	}
 	view.Revision = max(view.Revision, revision)
 	view.IsLoaded = true
-	return dropped, true
+	return result, true
+}
+
+// removeUnlisted removes the unfinished jobs that have no record among the items and were known by the time of the
+// revision, and returns them in order. When they stayed, a controller that had missed their ends showed them as active
+// for good (docs/incidents/ends-missed-by-reload.md).
+func (view *View) removeUnlisted(items []wire.KeyValue, revision uint64) []string {
+	isListed := map[string]bool{}
+	for i := range items {
+		if id, isJob := strings.CutPrefix(items[i].Key, records.JobPrefix); isJob {
+			isListed[id] = true
+		}
+	}
+	var removed []string
+	for id, job := range view.Jobs {
+		if !job.IsFinished() && job.Version <= revision && !isListed[id] {
+			removed = append(removed, id)
+			delete(view.Jobs, id)
+		}
+	}
+	slices.Sort(removed)
+	return removed
 }
--- a/internal/storeview/view_test.go
+++ b/internal/storeview/view_test.go
@@ -176,21 +176,30 @@
 	view, _ := newTestView()
 	view.ApplyPut(records.ScaleOutKey("a-1"), []byte(`{}`), 4)
 	view.ApplyPut(records.LockKey, []byte(`{"m":"b"}`), 4)
-	view.ApplyPut(records.JobKey("req-000001"), []byte(`{"j":{},"at":1}`), 4)
+	view.ApplyPut(records.JobKey("req-000001"), []byte(`{"at":1,"s":"done","e":1}`), 4)
+	view.ApplyPut(records.JobKey("req-000002"), []byte(`{"j":{},"at":1}`), 4) // its end is dropped
+	view.ApplyPut(records.JobKey("req-000004"), []byte(`{"j":{},"at":1}`), 4) // is in the archive
+	view.ApplyPut(records.JobKey("req-000005"), []byte(`{"j":{},"at":1}`), 4) // is active
+	view.ApplyPut(records.JobKey("req-000006"), []byte(`{"j":{},"at":1}`), 9) // was written after the read
 	filter := NewLoadFilter(1)
 	filter.Add([]wire.KeyValue{
 		{Key: records.JobKey("req-000002"), Value: []byte(`{"at":1,"s":"done","e":2}`), Version: 5},
 		{Key: records.JobKey("req-000003"), Value: []byte(`{"at":1,"s":"aborted","e":3}`), Version: 6},
+		{Key: records.JobKey("req-000005"), Value: []byte(`{"j":{},"at":1}`), Version: 4},
 		{Key: records.ScaleOutKey("a-2"), Value: []byte(`{}`), Version: 7},
 	})
 	if filter.FinishedCounts != (FinishedCounts{Done: 1, Cancelled: 1}) {
 		t.Errorf("FinishedCounts: got %+v, want 1 done and 1 cancelled", filter.FinishedCounts)
 	}
-	if dropped, ok := view.Load(filter, 8); dropped != 1 || !ok || !view.IsLoaded || view.Revision != 8 {
-		t.Errorf("Load at revision 8: got dropped %d, ok %v, view revision %d; want 1, true, 8", dropped, ok, view.Revision)
+	result, ok := view.Load(filter, 8)
+	if result.Dropped != 1 || !ok || !view.IsLoaded || view.Revision != 8 {
+		t.Errorf("Load at revision 8: got dropped %d, ok %v, view revision %d; want 1, true, 8", result.Dropped, ok, view.Revision)
+	}
+	if want := []string{"req-000002", "req-000004"}; !slices.Equal(result.Removed, want) || view.Jobs["req-000004"] != nil || view.Jobs["req-000005"] == nil || view.Jobs["req-000006"] == nil {
+		t.Errorf("removed jobs: got %v, want %v, and jobs 5 and 6 in the view", result.Removed, want)
 	}
 	if view.Jobs["req-000001"] == nil || view.Jobs["req-000002"] != nil || view.Jobs["req-000003"] == nil || view.ScaleOuts["a-1"] != nil || view.ScaleOuts["a-2"] == nil || view.Lock.Exists {
-		t.Errorf("view after Load: got %+v, want jobs 1 and 3, scale-out a-2 and no lock", view)
+		t.Errorf("view after Load: got %+v, want jobs 1, 3, 5 and 6, scale-out a-2 and no lock", view)
 	}
 	if _, ok := view.Load(NewLoadFilter(1), 7); ok || view.ScaleOuts["a-2"] == nil {
 		t.Error("Load at a revision older than the view's changed the view or returned ok")
