Accept jobs that name more evicted jobs than are cached or can be read at once

What could be seen: a job that names more finished jobs than a controller caches was answered 503 each time, for the dependencies read first were evicted before the last ones were read, or the look-ups took longer than a user waits.

Cause: each attempt began anew, and every dependency had to be in the view at the end of it.

Why this works: a job that a look-up has found and that is not in the view any longer has finished, which is all that a submission needs to know of it. Controllers remember such jobs (8,192 at most, then anew), so that the next attempt goes on where the last one ended.

--- a/internal/controller/controller_setup.go
+++ b/internal/controller/controller_setup.go
@@ -78,7 +78,7 @@
 // conditions of one transaction, and the store allows four times as many conditions as changes.
 func newFinishedJobHistory(capacity, maxTransactionOps int) finishedJobHistory {
 	return finishedJobHistory{
-		capacity: capacity, finished: jobhistory.NewCache(capacity),
+		capacity: capacity, finished: jobhistory.NewCache(capacity), found: foundJobs{},
 		lookups: jobhistory.NewLookups(maxPendingLookups, min(4*maxTransactionOps/keysPerJob, maxJobsPerLookup)),
 	}
 }
--- a/internal/controller/controller_state.go
+++ b/internal/controller/controller_state.go
@@ -120,6 +120,7 @@
 	capacity int               // how many finished jobs are kept in the view
 	evicted  evictedJobs
 	lookups  *jobhistory.Lookups
+	found    foundJobs
 }
 
 // userRequestState is the state that users' requests keep from one command to a later one.
--- a/internal/controller/eviction.go
+++ b/internal/controller/eviction.go
@@ -90,3 +90,24 @@
 	}
 	controller.history.evicted.counts = readCounts
 }
+
+// maxFoundJobs bounds a foundJobs. It is more than the dependencies that a submission has room for.
+const maxFoundJobs = 8192
+
+// foundJobs remembers jobs that a look-up has found. One that is not in the view any longer has finished: only finished
+// jobs are evicted. A submission may name more finished jobs than the view keeps, or than can be looked up while its user
+// waits; the user's next attempt goes on where the last one ended.
+type foundJobs map[string]struct{}
+
+// add remembers a job, and forgets all others if there are too many.
+func (found foundJobs) add(id string) {
+	if len(found) >= maxFoundJobs {
+		clear(found)
+	}
+	found[id] = struct{}{}
+}
+
+func (found foundJobs) has(id string) bool {
+	_, ok := found[id]
+	return ok
+}
--- a/internal/controller/job_lookup.go
+++ b/internal/controller/job_lookup.go
@@ -115,6 +115,7 @@
 	if !isArchived {
 		id = strings.TrimPrefix(item.Key, records.JobPrefix)
 	}
+	controller.history.found.add(id)
 	isNewToView := controller.view.Jobs[id] == nil
 	controller.view.ApplyPut(records.JobKey(id), item.Value, item.Version)
 	record := controller.view.Jobs[id]
--- a/internal/controller/submission.go
+++ b/internal/controller/submission.go
@@ -43,11 +43,14 @@
 func (controller *Controller) lookUpReferencedJobs(job *wire.Job, reply *server.Reply, proceed func(absent map[string]bool)) {
 	absent := map[string]bool{}
 	var ids []string
-	for _, id := range append(slices.Clone(job.DependsOn), job.ID) {
-		if controller.mayBeEvicted(id) {
+	for _, id := range job.DependsOn {
+		if controller.mayBeEvicted(id) && !controller.history.found.has(id) {
 			ids = append(ids, id)
 		}
 	}
+	if controller.mayBeEvicted(job.ID) {
+		ids = append(ids, job.ID)
+	}
 	controller.lookUpJobs(ids, func(results map[string]jobhistory.LookupResult) {
 		for id, result := range results {
 			absent[id] = result == jobhistory.Absent
@@ -61,15 +64,16 @@
 }
 
 // admitOrRejectSubmission validates a submission, and writes it if it is valid. Each job that it refers
-// to is in the view or known to be absent, unless it was evicted again after its lookup.
+// to is in the view, was found by a look-up, or is known to be absent, unless it was evicted meanwhile.
 func (controller *Controller) admitOrRejectSubmission(job *wire.Job, reply *server.Reply, absent map[string]bool) {
 	mayExistOnlyInStore := func(id string) bool { return controller.mayBeEvicted(id) && !absent[id] }
 	if controller.view.Jobs[job.ID] != nil || mayExistOnlyInStore(job.ID) {
 		controller.showJob(job.ID, reply)
 		return
 	}
-	if slices.ContainsFunc(job.DependsOn, mayExistOnlyInStore) {
-		// The lookup read the dependency into the view, which evicted it again to bound its memory.
+	isUnresolved := func(id string) bool { return mayExistOnlyInStore(id) && !controller.history.found.has(id) }
+	if slices.ContainsFunc(job.DependsOn, isUnresolved) {
+		// The dependency was in the view when the others were looked up, and was evicted to bound its memory.
 		replyUnavailable(reply, "what it awaits was forgotten again")
 		return
 	}
@@ -128,6 +132,8 @@
 	for _, id := range job.DependsOn {
 		record := controller.view.Jobs[id]
 		switch {
+		case id != job.ID && record == nil && controller.history.found.has(id):
+			// It was found and evicted again, so it has finished.
 		case id == job.ID || record == nil:
 			return "it awaits a job that was never accepted: " + id
 		case !record.HasEnded() && record.Spec != nil && record.Spec.Kind == wire.KindService:
--- a/internal/sim/finished_jobs_test.go
+++ b/internal/sim/finished_jobs_test.go
@@ -169,6 +169,33 @@
 	})
 }
 
+// Guards against a submission that is refused for good: it names more evicted jobs than a controller caches, and the
+// first ones are evicted again before the last ones are read.
+func TestJobMayDependOnMoreEvictedJobsThanAreCached(t *testing.T) {
+	Run(t, smallCacheOptions(), func(cluster *Cluster) {
+		cluster.finishJobs()
+		job, cancelledToo := Array(600001, 1, "a"), Array(600002, 1, "a")
+		for i := range finishedJobCount {
+			switch cluster.GetJob("n1", JobID(i)).JobState() {
+			case wire.JobDone:
+				job.DependsOn = append(job.DependsOn, JobID(i))
+			case wire.JobCancelled:
+				cancelledToo.DependsOn = []string{JobID(i)}
+			}
+		}
+		if len(job.DependsOn) <= 2*cachedJobCount {
+			t.Fatalf("%d jobs are done, want more than twice as many as are cached", len(job.DependsOn))
+		}
+		cancelledToo.DependsOn = append(cancelledToo.DependsOn, job.DependsOn...)
+		cluster.MustSubmit("n0", job)
+		cluster.MustSubmit("n2", cancelledToo)
+		for _, name := range cluster.Members() {
+			cluster.WaitForState(name, job.ID, wire.JobDone, time.Minute)
+			cluster.WaitForState(name, cancelledToo.ID, wire.JobCancelled, time.Minute)
+		}
+	})
+}
+
 // During a store outage, controllers never reply that an evicted job is unknown, and they answer requests
 // for it in time.
 func TestEvictedJobsAreNeverUnknownDuringStoreOutage(t *testing.T) {
