sim: generated histories with controllers that cache two finished jobs

The faults of dependencies that are not cached needed hundreds of jobs to show. With a cache of two, nearly every finished job of a generated history is evicted and looked up.

--- a/internal/sim/generated_history_test.go
+++ b/internal/sim/generated_history_test.go
@@ -17,6 +17,8 @@
 var (
 	historyCount = flag.Int("histories", 10, "how many histories of overlapping faults TestGeneratedHistories plays")
 	firstSeed    = flag.Uint64("first-seed", 1, "seed of the first generated history")
+	// cachedJobs is how many finished jobs the controllers of generated histories and of the soak cache.
+	cachedJobs = flag.Int("cached-jobs", 0, "how many finished jobs controllers cache in generated histories and in the soak; 0: the default")
 )
 
 // generatedHistory is a random sequence of jobs, requests and overlapping faults.
@@ -284,25 +286,45 @@
 	for i := range *historyCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			options := Options{Logger: controllerLogger()}
-			if seed%3 == 0 {
-				options.Workers = WorkerTimes{LeaseTTL: 14 * time.Second, CancellationGrace: 44 * time.Second, HeartbeatInterval: 2 * time.Second}
-			}
-			Run(t, options, func(cluster *Cluster) {
-				history := &generatedHistory{
-					Cluster: cluster, random: rand.New(rand.NewPCG(seed, 7)), cancelRequested: map[string]bool{}, cancelledWithDependency: map[string]bool{}, succeeded: make(chan struct{}, 1000),
-				}
-				for range 60 {
-					time.Sleep(history.randomDuration(0, 6))
-					history.runRandomStep()
-				}
-				history.waitForCompletion()
-				for _, start := range cluster.Checker.LateStarts() {
-					lateStarts++
-					t.Log("late start: ", start)
-				}
-			})
+			options := Options{Logger: controllerLogger(), FinishedJobs: FinishedJobOptions{CachedCount: *cachedJobs}}
+			lateStarts += runGeneratedHistory(t, seed, options)
 		})
 	}
 	t.Logf("%d task starts after a confirmed cancellation", lateStarts)
 }
+
+// tinyCacheHistoryCount is how many histories TestGeneratedHistoriesWithTinyCache plays.
+const tinyCacheHistoryCount = 8
+
+// Guards against the faults of dependencies that are not cached (docs/incidents/dependencies-not-cached.md,
+// removed-dependents.md): the histories of TestGeneratedHistories, with controllers that cache two finished jobs.
+func TestGeneratedHistoriesWithTinyCache(t *testing.T) {
+	for seed := uint64(1); seed <= tinyCacheHistoryCount; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runGeneratedHistory(t, seed, Options{Logger: controllerLogger(), FinishedJobs: FinishedJobOptions{CachedCount: 2}})
+		})
+	}
+}
+
+// runGeneratedHistory plays the history of a seed and returns how many tasks were started after the confirmed
+// cancellation of their job.
+func runGeneratedHistory(t *testing.T, seed uint64, options Options) (lateStarts int) {
+	if seed%3 == 0 {
+		options.Workers = WorkerTimes{LeaseTTL: 14 * time.Second, CancellationGrace: 44 * time.Second, HeartbeatInterval: 2 * time.Second}
+	}
+	Run(t, options, func(cluster *Cluster) {
+		history := &generatedHistory{
+			Cluster: cluster, random: rand.New(rand.NewPCG(seed, 7)), cancelRequested: map[string]bool{}, cancelledWithDependency: map[string]bool{}, succeeded: make(chan struct{}, 1000),
+		}
+		for range 60 {
+			time.Sleep(history.randomDuration(0, 6))
+			history.runRandomStep()
+		}
+		history.waitForCompletion()
+		for _, start := range cluster.Checker.LateStarts() {
+			lateStarts++
+			t.Log("late start: ", start)
+		}
+	})
+	return lateStarts
+}
--- a/internal/sim/soak_test.go
+++ b/internal/sim/soak_test.go
@@ -54,7 +54,7 @@
 }
 
 func runSoakHistory(t *testing.T, seed uint64) {
-	options := Options{TaskDuration: 100 * time.Second, Workers: soakWorkerTimes[seed%uint64(len(soakWorkerTimes))], Logger: controllerLogger()}
+	options := Options{FinishedJobs: FinishedJobOptions{CachedCount: *cachedJobs}, TaskDuration: 100 * time.Second, Workers: soakWorkerTimes[seed%uint64(len(soakWorkerTimes))], Logger: controllerLogger()}
 	Run(t, options, func(cluster *Cluster) {
 		history := &soakHistory{generatedHistory: &generatedHistory{
 			Cluster: cluster, random: rand.New(rand.NewPCG(seed, 11)), cancelRequested: map[string]bool{}, cancelledWithDependency: map[string]bool{}, succeeded: make(chan struct{}, 1000),
