--- a/internal/sim/message_size_test.go
+++ b/internal/sim/message_size_test.go
@@ -7,6 +7,9 @@
 	"firwood.dev/firwood/wire"
 )
 
+// ordinaryStartTarget is the time within which users of a batch class expect nearly all tasks to start.
+const ordinaryStartTarget = 25 * time.Second
+
 // checkMessages checks that no message was larger than PROTOCOL allows and that no lease ended with tasks.
 func (cluster *Cluster) checkMessages() {
 	cluster.t.Helper()
@@ -42,7 +45,11 @@
 				time.Sleep(30 * time.Second)
 				ordinary := Array(2, 2, "b")
 				ordinary.Priority = wire.PriorityHigh
+				submittedAt := time.Now()
 				cluster.MustRun("n1", ordinary)
+				if waited := time.Since(submittedAt); waited > ordinaryStartTarget {
+					t.Errorf("the ordinary job started after %v, want at most %v", waited, ordinaryStartTarget)
+				}
 				cluster.WaitForState("n2", many.ID, wire.JobDone, test.until)
 				cluster.checkMessages()
 			})
