--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -9,4 +9,4 @@
 		exit 2
 	fi
 done
-exec "$root/target/review-2/cases" staggered "$root" "$here"
+exec "$root/target/review-2/cases" limits "$root" "$here"
