scheduler: request a gang's machines again after each pool has refused once

Cause: isInfeasible counted a pool's refusal until that pool filled a request in full. Where no other job waits, nobody sends such a request; the end of the pool's backoff wasn't asked. Partial grants count as refusals. On the way to it, a SingleZone gang was bound to the zone where most of its tasks fit, also when that zone had refused the rest and others had never been asked.

Change: a refusal counts only in the attempt in which it came.

--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -31,7 +31,8 @@
 // poolBackoff is the backoff of a pool that did not supply all the machines requested from it.
 type poolBackoff struct {
 	backoffUntil     clock.Micros
-	unfilledRequests int // consecutive requests that the pool did not fill
+	refusedAt        clock.Micros // when the pool last did not fill a request
+	unfilledRequests int          // consecutive requests that the pool did not fill
 }
 
 const (
@@ -44,6 +45,7 @@
 func (scheduler *Scheduler) ObserveEmptyPool(pool Pool, now clock.Micros) {
 	backoff := scheduler.backoffFor(pool)
 	backoff.unfilledRequests++
+	backoff.refusedAt = now
 	backoff.backoffUntil = now + min(clock.Second<<min(backoff.unfilledRequests, maxBackoffShift), maxPoolBackoff)
 }
 
@@ -58,6 +60,11 @@
 	scheduler.ObserveEmptyPool(pool, now)
 }
 
+// hasRefusedSince reports whether the pool did not fill its last request, and that was not before the given time.
+func (backoff *poolBackoff) hasRefusedSince(since clock.Micros) bool {
+	return backoff.unfilledRequests > 0 && backoff.refusedAt >= since
+}
+
 // isBackingOff reports whether a pool is not to be asked now because it recently had too few machines.
 func (cycle *schedulingCycle) isBackingOff(pool Pool) bool {
 	return cycle.now < cycle.scheduler.backoffFor(pool).backoffUntil
--- a/internal/scheduler/poolchoice.go
+++ b/internal/scheduler/poolchoice.go
@@ -7,8 +7,8 @@
 // chooseZone returns the zone that all tasks of a SingleZone job have to run in, or "" for other
 // jobs. It is the zone that has tasks of the job or that its spec names; otherwise it is the zone
 // where most of its tasks will find room. A zone where machines can be requested counts as having
-// room for at least one task; a zone where none can be requested counts only if all tasks fit there.
-// All requests for such a job have to go to the same zone, since the job can't use machines in several
+// room for at least one task; a zone where none can be requested, or too few for a gang, counts only if all
+// tasks fit there. All requests for such a job have to go to the same zone, since the job can't use machines in several
 // zones.
 func (cycle *schedulingCycle) chooseZone(job *allocation.Job, forecast *capacityForecast) string {
 	if !job.Spec.SingleZone {
@@ -23,10 +23,11 @@
 	bestZone, bestFit := "", -1
 	for _, zone := range cycle.scheduler.Zones {
 		fitCount := forecast.countFitting(job, zone)
-		if len(cycle.pricedPools(job, relaxed, zone, forecast)) > 0 {
+		canRequest := len(cycle.pricedPools(job, relaxed, zone, forecast)) > 0 && !(job.IsGang() && cycle.isInfeasible(job, zone))
+		if canRequest {
 			fitCount = max(fitCount, 1)
 		} else if fitCount < len(job.Tasks) {
-			fitCount = 0 // no machine can be requested in this zone now
+			fitCount = 0
 		}
 		if fitCount > bestFit {
 			bestZone, bestFit = zone, fitCount
--- a/internal/scheduler/scaleout.go
+++ b/internal/scheduler/scaleout.go
@@ -21,6 +21,7 @@
 	if len(wanted) == 0 {
 		return
 	}
+	cycle.scheduler.forgetGangAttempts(cycle.tracker)
 	forecast := cycle.forecastCapacity(wanted, pendingScaleOuts)
 	var requestedPools []*poolForecast // in the order in which the queue first needs them
 	for _, queued := range wanted {
@@ -30,7 +31,7 @@
 			continue
 		}
 		queued.hasShortfall = true
-		if !queued.job.IsGang() || !cycle.isInfeasible(queued, shortfall.requiredZone) {
+		if cycle.mayRequestMachines(queued, shortfall.requiredZone) {
 			requestedPools = cycle.requestMachines(&shortfall, forecast, requestedPools)
 		}
 	}
@@ -101,29 +102,6 @@
 	return requestedPools
 }
 
-// isInfeasible reports whether a gang needs more machines than the cloud has: each pool that it may
-// use was found empty, and the existing machines of these pools together cannot hold the gang.
-// Machines requested for a part of the gang would idle, be deleted, and be requested again.
-func (cycle *schedulingCycle) isInfeasible(queued *queuedJob, requiredZone string) bool {
-	taskCapacity := 0
-	for typeName, machineType := range cycle.scheduler.MachineTypes {
-		tasksPerMachine := cycle.scheduler.tasksPerMachine(queued.job.Request, typeName)
-		for _, zone := range machineType.Zones {
-			for _, spot := range []bool{true, false} {
-				pool := Pool{typeName, zone, spot}
-				if tasksPerMachine == 0 || !isPoolAllowed(queued.job, pool) || requiredZone != "" && zone != requiredZone {
-					continue
-				}
-				if cycle.scheduler.backoffFor(pool).unfilledRequests == 0 {
-					return false
-				}
-				taskCapacity += tasksPerMachine * cycle.machineCount(pool)
-			}
-		}
-	}
-	return taskCapacity < len(queued.job.Tasks)
-}
-
 // possiblyLostReplicas lists the services with production replicas that are on suspected machines or
 // are unconfirmed since a failover. The replicas may not be started again yet, but the machines
 // that they will need can boot in the meantime. If those were requested only once the loss is
--- a/internal/scheduler/scaleout_test.go
+++ b/internal/scheduler/scaleout_test.go
@@ -181,3 +181,88 @@
 		}
 	}
 }
+
+// refuseScaleOuts has the cloud answer all of a plan's requests: each pool grants at most the given number
+// of machines. It returns the number of machines that were requested.
+func (fixture *schedulerFixture) refuseScaleOuts(requests []ScaleOutRequest, granted int) (requested int) {
+	for _, request := range requests {
+		requested += request.Count
+		if granted == 0 {
+			fixture.scheduler.ObserveEmptyPool(request.Pool, fixture.now)
+			continue
+		}
+		fixture.scheduler.ObserveScaleOutResult(request.Pool, request.Count, min(granted, request.Count), fixture.now)
+	}
+	return requested
+}
+
+// Guards against a gang that is never requested again after each pool has refused once: the refusals stood for
+// good, also when the cloud had machines again. They may delay the next request only by the longest wait between two
+// attempts and a pool's backoff.
+func TestGangIsRequestedAgainAfterRefusalsByAllPools(t *testing.T) {
+	for _, spec := range []wire.Job{
+		{TaskCount: 2},
+		{TaskCount: 2, SingleZone: true},
+		{TaskCount: 2, SpreadZones: true},
+		{TaskCount: 2, AllowsSpot: true},
+		{TaskCount: 3, Zone: "z"},
+		{TaskCount: 12, AllowsSpot: true, SpreadZones: true},
+		{TaskCount: 30, AllowsSpot: true, SingleZone: true},
+	} {
+		for _, granted := range []int{0, 1} { // a grant of a part counts as a refusal
+			fixture := newFixture(map[string]allocation.TeamQuota{"a": {}})
+			spec.ID, spec.Team, spec.Kind, spec.CPUs, spec.GPUs, spec.EstimatedRunSeconds = "req-000001", "a", wire.KindGang, 10, 2, 60
+			fixture.addJob(spec)
+			outageEnd := fixture.now + 25*clock.Second
+			for ; fixture.now < outageEnd; fixture.now += 100 * clock.Millisecond {
+				fixture.refuseScaleOuts(fixture.plan().ScaleOut, granted)
+			}
+			deadline := outageEnd + min(clock.Micros(spec.TaskCount)*gangRetryInterval<<maxGangRetryShift, maxGangRetryWait) + maxPoolBackoff
+			isRequested := false
+			for ; fixture.now <= deadline && !isRequested; fixture.now += 100 * clock.Millisecond {
+				isRequested = len(fixture.plan().ScaleOut) > 0
+			}
+			if !isRequested {
+				t.Errorf("gang %+v, %d machines granted: no machine is requested within %v s after the cloud has machines again", spec, granted, (deadline - outageEnd).Seconds())
+			}
+		}
+	}
+}
+
+// Guards against a SingleZone gang that is bound to a zone whose pools have refused, because some of its tasks fit
+// there, while another zone was never asked.
+func TestSingleZoneGangLeavesZoneThatHasTooFewMachines(t *testing.T) {
+	fixture := newFixture(map[string]allocation.TeamQuota{"a": {}})
+	fixture.addMachine("i-0", "big", "x", false)
+	fixture.scheduler.ObserveEmptyPool(Pool{"big", "x", false}, fixture.now)
+	fixture.addJob(wire.Job{ID: "req-000001", Team: "a", TaskCount: 2, CPUs: 16, MachineTypes: []string{"big"}, Kind: wire.KindGang, SingleZone: true})
+	fixture.now += 60 * clock.Second // past the backoff of the pool
+	decision := fixture.plan()
+	if len(decision.ScaleOut) != 1 || decision.ScaleOut[0].Pool.Zone == "x" || decision.ScaleOut[0].Count != 2 {
+		t.Errorf("zone x holds one task of two and refused more: got scale-out requests %v, want one for 2 machines in another zone", decision.ScaleOut)
+	}
+}
+
+// Guards against the cost of a gang that the cloud can't hold: an attempt to get its machines is repeated only after
+// a time that grows with the machines that it needs and with the attempts that failed.
+func TestAttemptsForInfeasibleGangGetRarer(t *testing.T) {
+	fixture := newFixture(map[string]allocation.TeamQuota{"a": {}})
+	const taskCount = 10
+	fixture.addJob(wire.Job{ID: "req-000001", Team: "a", Kind: wire.KindGang, TaskCount: taskCount, CPUs: 10, GPUs: 2, EstimatedRunSeconds: 60, MachineTypes: []string{"big"}, Zone: "x"})
+	var attempts []clock.Micros
+	for end := fixture.now + 1800*clock.Second; fixture.now < end; fixture.now += clock.Second {
+		if fixture.refuseScaleOuts(fixture.plan().ScaleOut, taskCount-1) > 0 {
+			attempts = append(attempts, fixture.now)
+		}
+	}
+	if len(attempts) < 5 {
+		t.Fatalf("attempts within 1800 s: got %d, want at least 5", len(attempts))
+	}
+	wait := taskCount * gangRetryInterval
+	for i := 1; i < len(attempts); i++ {
+		if gap := attempts[i] - attempts[i-1]; gap < wait || gap > wait+maxPoolBackoff {
+			t.Errorf("attempt %d: got a gap of %v s, want %v s and up to a pool's backoff more", i, gap.Seconds(), wait.Seconds())
+		}
+		wait = min(2*wait, taskCount*gangRetryInterval<<maxGangRetryShift)
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -46,6 +46,7 @@
 
 	models       models
 	poolBackoffs map[Pool]*poolBackoff
+	gangAttempts map[*allocation.Job]*gangAttempt // of gangs that the cloud could not hold
 	buffers      buffers
 }
 
@@ -69,7 +70,7 @@
 	scheduler := &Scheduler{
 		Settings: settings, Teams: teams, Zones: zones,
 		models:       models{runTimes: map[string]*forecast.RunTimeModel{}, bootTimes: map[string]*forecast.BootTimeModel{}},
-		poolBackoffs: map[Pool]*poolBackoff{},
+		poolBackoffs: map[Pool]*poolBackoff{}, gangAttempts: map[*allocation.Job]*gangAttempt{},
 	}
 	scheduler.SetMachineTypes(types)
 	return scheduler
