scheduler: count the room of a gang's slots on a machine once

Cause: for the first slot that isn't free, slotSearch set what is free after stops to all that is free on the machine, so the room of earlier slots of the same gang was counted again, at no cost and without a victim. The gang got a reservation that nothing could keep, in each plan, and no machine is requested for a gang with a reservation. isFree was read from the room after ended tasks, which counted room as free before it is.

Change: each slot takes its room from what is free now, when tasks have ended, and when work has been stopped; what stopping tasks release is added once.

--- a/internal/scheduler/gangslots.go
+++ b/internal/scheduler/gangslots.go
@@ -71,7 +71,7 @@
 	search := slotSearch{
 		cycle: cycle, queued: queued, machine: machine,
 		fetchSeconds: cycle.imageReadySeconds(queued.job, machine), score: cycle.placementScore(queued.job, machine),
-		freeIfDrained: free, freeIfPreempted: free,
+		freeNow: free, freeIfDrained: free, freeIfPreempted: free,
 	}
 	remaining := min(cycle.scheduler.tasksPerMachine(queued.job.Request, machine.Type), len(queued.readyTasks))
 	for remaining > 0 {
@@ -95,6 +95,8 @@
 	fetchSeconds, score float64
 	hasListedPlacements bool // whether endingPlacements and victims have been listed
 
+	freeNow allocation.Resources // free resources if nothing ends
+
 	freeIfDrained    allocation.Resources    // free resources if nothing is stopped
 	endingPlacements []*allocation.Placement // placements that drainUntilFits has not counted as ended
 	drainSeconds     float64                 // seconds until the last placement counted as ended is expected to end
@@ -107,7 +109,7 @@
 // next returns the next slot, with room for at most limit tasks, or false if the machine has no further slot.
 func (search *slotSearch) next(limit int) (gangSlot, bool) {
 	request := search.queued.job.Request
-	slot := gangSlot{machine: search.machine, isFree: request.IsWithin(search.freeIfDrained), readyInSeconds: math.Inf(1), preemptedReadyInSeconds: math.Inf(1), score: search.score}
+	slot := gangSlot{machine: search.machine, isFree: request.IsWithin(search.freeNow), readyInSeconds: math.Inf(1), preemptedReadyInSeconds: math.Inf(1), score: search.score}
 	if !slot.isFree {
 		search.listPlacements()
 	}
@@ -121,11 +123,18 @@
 		return gangSlot{}, false
 	}
 	slot.taskCount = search.countEqual(&slot, limit)
-	slotRequest := request.Times(slot.taskCount)
-	search.freeIfDrained, search.freeIfPreempted = search.freeIfDrained.Sub(slotRequest), search.freeIfPreempted.Sub(slotRequest)
+	search.takeRoom(request.Times(slot.taskCount))
 	return slot, true
 }
 
+// takeRoom counts room as used by a slot, so that no later slot of the machine counts it again. If nothing ends, the
+// room may become negative, which is no room.
+func (search *slotSearch) takeRoom(room allocation.Resources) {
+	search.freeNow = search.freeNow.Sub(room)
+	search.freeIfDrained = search.freeIfDrained.Sub(room)
+	search.freeIfPreempted = search.freeIfPreempted.Sub(room)
+}
+
 // countEqual returns how many tasks, from 1 to limit, the room found for one task has room for at the same times
 // and the same cost.
 func (search *slotSearch) countEqual(slot *gangSlot, limit int) int {
@@ -133,17 +142,17 @@
 	isPreemptionPossible := !math.IsInf(slot.preemptedReadyInSeconds, 1)
 	switch {
 	case slot.isFree && isPreemptionPossible:
-		return request.CountWithin(search.freeIfPreempted, request.CountWithin(search.freeIfDrained, limit))
+		return request.CountWithin(search.freeIfPreempted, request.CountWithin(search.freeNow, limit))
 	case slot.isFree:
-		return request.CountWithin(search.freeIfDrained, limit)
+		return request.CountWithin(search.freeNow, limit)
 	case math.IsInf(slot.readyInSeconds, 1):
 		return request.CountWithin(search.freeIfPreempted, limit)
 	}
 	return 1
 }
 
-// listPlacements lists the placements that end by themselves and those that may be stopped. It does
-// so at most once, and not at all for a machine with enough free room.
+// listPlacements lists the placements that end by themselves and those that may be stopped, and counts the room of
+// tasks that are being stopped. It does so at most once, and not at all for a machine with enough free room.
 func (search *slotSearch) listPlacements() {
 	if search.hasListedPlacements {
 		return
@@ -153,7 +162,7 @@
 	search.victims = preemptiblePlacements(search.machine, func(placement *allocation.Placement) bool {
 		return search.cycle.mayStop(search.queued, placement)
 	})
-	search.freeIfPreempted = search.cycle.freeAfterStopping(search.machine)
+	search.freeIfPreempted = search.freeIfPreempted.Add(*search.cycle.releasingOn(search.machine))
 }
 
 // drainUntilFits counts placements as ended, in the order of their ends, until the request fits. It
--- a/internal/scheduler/gangslots_test.go
+++ b/internal/scheduler/gangslots_test.go
@@ -79,7 +79,7 @@
 	search := slotSearch{
 		cycle: cycle, queued: queued, machine: machine,
 		fetchSeconds: cycle.imageReadySeconds(queued.job, machine), score: cycle.placementScore(queued.job, machine),
-		freeIfDrained: free, freeIfPreempted: free,
+		freeNow: free, freeIfDrained: free, freeIfPreempted: free,
 	}
 	var slots []gangSlot
 	for range min(cycle.scheduler.tasksPerMachine(queued.job.Request, machine.Type), len(queued.readyTasks)) {
@@ -144,3 +144,115 @@
 		t.Fatalf("the cases cover too little: got %d shared slots, %d that wait and %d that only preemption frees, want at least 10 of each", sharedCount, waitingCount, stoppedCount)
 	}
 }
+
+// addOccupant fills a part of a machine with a running task that may not be stopped for a gang and doesn't end soon.
+func (fixture *schedulerFixture) addOccupant(t *testing.T, id, kind string, cpus float64, machine *allocation.Machine) {
+	t.Helper()
+	spec := wire.Job{ID: id, Team: "b", Kind: kind, Priority: wire.PriorityProduction, TaskCount: 1, CPUs: cpus}
+	if kind == wire.KindArray {
+		spec.EstimatedRunSeconds = 20000
+	}
+	job := fixture.addJob(spec)
+	if err := fixture.tracker.PlaceTask(job, 0, machine, fixture.tracker.NextAttempt(), fixture.now); err != nil {
+		t.Fatal(err)
+	}
+	fixture.reportTasks(machine, wire.TaskRunning)
+}
+
+// Guards against a gang that never starts because of a reservation that can't be kept: room for one of its tasks
+// counted again for the next one on the same machine, so that each plan reserved the machine and none was requested.
+func TestGangIsRequestedWhereOnlyPartOfItHasRoom(t *testing.T) {
+	for _, occupant := range []string{wire.KindService, wire.KindArray} {
+		for _, testCase := range []struct {
+			machines, tasks int
+			gangCPUs        float64 // of each task, beside 8 of 16 CPUs that are in use
+			single, spread  bool
+		}{
+			{1, 2, 8, false, false},
+			{1, 2, 5, true, false}, {1, 2, 5, false, true},
+			{1, 4, 4, true, false},
+			{1, 8, 1.5, false, false},
+			{2, 4, 8, false, false}, {2, 3, 7, false, true},
+			{3, 6, 6, false, false}, {3, 4, 6, false, false},
+		} {
+			fixture := newFixture(map[string]allocation.TeamQuota{"a": {}, "b": {}})
+			for i := range testCase.machines {
+				fixture.addOccupant(t, fmt.Sprintf("req-1%05d", i), occupant, 8, fixture.addMachine(fmt.Sprintf("i-%d", i), "big", []string{"x", "y", "z"}[i], false))
+			}
+			gang := fixture.addJob(wire.Job{
+				ID: "req-000001", Team: "a", Kind: wire.KindGang, TaskCount: testCase.tasks, CPUs: testCase.gangCPUs, EstimatedRunSeconds: 60,
+				SingleZone: testCase.single, SpreadZones: testCase.spread, MachineTypes: []string{"big"},
+			})
+			if decision := fixture.plan(); len(decision.ScaleOut) == 0 && gang.ActiveCount() == 0 {
+				t.Errorf("%s on half of each machine, gang %+v: got neither a machine requested nor a task placed", occupant, testCase)
+			}
+		}
+	}
+}
+
+// Slots never have more room than the machine: those that are free now no more than is free, those to which work
+// gives way no more than is free and may be stopped or ends.
+func TestGangSlotsFitTheMachine(t *testing.T) {
+	multipleSlots := 0
+	rapid.Check(t, func(t *rapid.T) {
+		fixture := newFixture(map[string]allocation.TeamQuota{"a": {}, "b": {}})
+		machine := fixture.addMachine("i-1", "big", "x", false)
+		for i := range rapid.IntRange(0, 6).Draw(t, "jobs") {
+			job := fixture.addJob(wire.Job{
+				ID: fmt.Sprintf("req-1%05d", i), Team: "a", TaskCount: 1, Priority: rapid.SampledFrom([]string{wire.PriorityHigh, wire.PriorityLow}).Draw(t, "priority"),
+				Kind: rapid.SampledFrom([]string{wire.KindArray, wire.KindService}).Draw(t, "kind"),
+				CPUs: float64(rapid.IntRange(1, 8).Draw(t, "cpus")), EstimatedRunSeconds: float64(rapid.IntRange(20, 2000).Draw(t, "estimate")),
+			})
+			_ = fixture.tracker.PlaceTask(job, 0, machine, fixture.tracker.NextAttempt(), fixture.now) // there may be no room
+		}
+		fixture.reportTasks(machine, wire.TaskRunning)
+		var running []*allocation.Placement
+		machine.ForEachPlacement(func(placement *allocation.Placement) { running = append(running, placement) })
+		for _, placement := range running {
+			if rapid.Bool().Draw(t, "is stopping") {
+				fixture.tracker.StopPlacement(placement, 0)
+			}
+		}
+		gang := fixture.addJob(wire.Job{ID: "req-000001", Team: "b", Kind: wire.KindGang, TaskCount: rapid.IntRange(1, 12).Draw(t, "tasks"), CPUs: float64(rapid.IntRange(1, 8).Draw(t, "gang cpus")), EstimatedRunSeconds: 60})
+		queue := fixture.scheduler.buildQueue(fixture.tracker, nil, fixture.now, fixture.now)
+		cycle := fixture.scheduler.newCycle(fixture.tracker, queue, fixture.now)
+		queued := queue[slices.IndexFunc(queue, func(queued *queuedJob) bool { return queued.job == gang })]
+		slots := cycle.appendMachineSlots(nil, queued, machine)
+		if len(slots) > 1 {
+			multipleSlots++
+		}
+		var free, drained, preempted []gangSlot
+		for _, slot := range slots {
+			if slot.isFree {
+				free = append(free, slot)
+			}
+			if !math.IsInf(slot.readyInSeconds, 1) {
+				drained = append(drained, slot)
+			}
+			if !math.IsInf(slot.preemptedReadyInSeconds, 1) {
+				preempted = append(preempted, slot)
+			}
+		}
+		freeIfDrained, freeIfPreempted := machine.Free(), machine.Free()
+		for _, placement := range running {
+			if placement.IsStopping() || !placement.Job.IsService() {
+				freeIfDrained = freeIfDrained.Add(placement.Job.Request)
+			}
+			if placement.IsStopping() || cycle.mayStop(queued, placement) {
+				freeIfPreempted = freeIfPreempted.Add(placement.Job.Request)
+			}
+		}
+		for _, room := range []struct {
+			name  string
+			slots []gangSlot
+			room  allocation.Resources
+		}{{"free now", free, machine.Free()}, {"free when tasks end", drained, freeIfDrained}, {"free when tasks are stopped", preempted, freeIfPreempted}} {
+			if used := gang.Request.Times(countSlotTasks(room.slots)); !used.IsWithin(room.room) {
+				t.Fatalf("slots that are %s: got %+v for %d tasks, want at most %+v", room.name, used, countSlotTasks(room.slots), room.room)
+			}
+		}
+	})
+	if multipleSlots < 10 {
+		t.Fatalf("got %d machines with several slots, want at least 10", multipleSlots)
+	}
+}
