records: shorten the record of a job's end until it fits into a value

Cause: only the submission's record was held to the limit. The record of the end has the state, times, number of tasks and the class besides, and the store refused each write of it. The same held for completed jobs with long class names (never shown as done), and, after the limit was lowered, for cancelled jobs without their submission, implied cancellations, and moves to the archive and back.

Change: all five write records.EncodeEnded. A record that fits is written as before; another goes without awaited jobs, types, image, and at last the class, until it fits. What tasks may still occupy stays. A submission whose end wouldn't fit even so is refused as too large.

Evidence: TestEndOfAcceptedJobFitsTheLimit and TestJobsNearValueLimitEnd fail without the shortening, TestLongRecordsEndAfterLimitIsLowered also without any one of the leader's four uses.

--- a/internal/controller/job_cancellation.go
+++ b/internal/controller/job_cancellation.go
@@ -4,6 +4,7 @@
 	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/jobhistory"
 	"firwood.dev/firwood/internal/kvstore"
+	"firwood.dev/firwood/internal/leader"
 	"firwood.dev/firwood/internal/records"
 	"firwood.dev/firwood/internal/server"
 	"firwood.dev/firwood/internal/storeview"
@@ -81,7 +82,7 @@
 // view.
 func (controller *Controller) commitCancellation(id string, record *storeview.Job, reply *server.Reply, attemptsLeft int) {
 	end := storeview.NewEndedJob(record, wire.JobCancelled, clock.WallTime())
-	value, err := end.MarshalJSON()
+	value, err := records.EncodeEnded(&end.Job, leader.StoreLimits(controller.cfg))
 	if err != nil {
 		replyUnavailable(reply, reasonNotEncodable)
 		return
--- a/internal/leader/archive.go
+++ b/internal/leader/archive.go
@@ -144,7 +144,24 @@
 	write := &kvstore.Write{
 		Priority:   kvstore.Background,
 		Conditions: []wire.Condition{{Key: item.Key, Version: item.Version}, {Key: newKey}},
-		Changes:    []wire.Change{{PutKey: newKey, Value: item.Value}, {DeleteKey: item.Key}},
+		Changes:    []wire.Change{{PutKey: newKey, Value: fitEnded(item.Value, StoreLimits(archiver.term.environment.Config))}, {DeleteKey: item.Key}},
 	}
 	archiver.term.commit(write, func(kvstore.Outcome) { archiver.movesInFlight-- })
 }
+
+// fitEnded returns the stored record of a finished job, shortened if it was written under a higher limit than the present
+// one: the store would refuse each move of the whole record.
+func fitEnded(value []byte, limits records.Limits) []byte {
+	if len(value) <= limits.MaxValueBytes() {
+		return value
+	}
+	var record records.Job
+	if record.UnmarshalJSON(value) != nil {
+		return value
+	}
+	shortened, err := records.EncodeEnded(&record, limits)
+	if err != nil {
+		return value
+	}
+	return shortened
+}
--- a/internal/leader/cancelled_jobs.go
+++ b/internal/leader/cancelled_jobs.go
@@ -22,7 +22,7 @@
 	}
 	record := *current
 	record.Spec = nil
-	value, err := record.MarshalJSON()
+	value, err := records.EncodeEnded(&record.Job, StoreLimits(term.environment.Config))
 	if err != nil {
 		return
 	}
--- a/internal/leader/cleanup.go
+++ b/internal/leader/cleanup.go
@@ -148,7 +148,7 @@
 	if !term.IsTracking(id) {
 		end.Spec = nil // the job never started, so a new leader need not look for its tasks
 	}
-	value, err := end.MarshalJSON()
+	value, err := records.EncodeEnded(&end.Job, StoreLimits(term.environment.Config))
 	if err != nil {
 		return
 	}
--- a/internal/leader/job_end_writer.go
+++ b/internal/leader/job_end_writer.go
@@ -19,7 +19,7 @@
 		return
 	}
 	end := writer.endRecord(id, record, job, jobInfo)
-	value, err := end.MarshalJSON()
+	value, err := records.EncodeEnded(&end.Job, StoreLimits(term.environment.Config))
 	if err != nil {
 		return
 	}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -6,7 +6,6 @@
 package records
 
 import (
-	"firwood.dev/firwood/internal/clock"
 	"firwood.dev/firwood/internal/delegation"
 	"firwood.dev/firwood/wire"
 )
@@ -64,25 +63,6 @@
 // its tasks can be on a machine.
 func (record *Job) IsFinished() bool { return record.State != "" && record.Spec == nil }
 
-// NewEndedRecord returns the record of a job that ends now in the given state, from the job's record
-// before its end.
-func NewEndedRecord(record *Job, state string, now clock.Micros) *Job {
-	end := &Job{SubmittedAt: record.SubmittedAt, State: state, EndedAt: int64(now)}
-	if state == wire.JobCancelled {
-		// A later leader has to know the resources of the tasks that may still run.
-		end.Spec = record.Spec
-	}
-	end.TasksPerKey = record.TasksPerKey
-	if record.Spec != nil {
-		end.Class = record.Spec.Class
-		end.Tasks = record.Spec.TaskCount
-		if record.Spec.DeadlineSeconds > 0 {
-			end.DeadlineAt = record.SubmittedAt + int64(clock.FromSeconds(record.Spec.DeadlineSeconds))
-		}
-	}
-	return end
-}
-
 // Dependencies is the value of a dependencies key: one part of the list of jobs that a job depends on.
 type Dependencies struct {
 	// DependsOn lists ids of jobs. All parts, joined in the order of their numbers, are the submitted
--- a/internal/records/submission.go
+++ b/internal/records/submission.go
@@ -23,13 +23,16 @@
 // SubmissionChanges returns the changes that create a new job's keys. They have to be made in one
 // transaction. If the job's record is too large for one value, its dependencies go into keys of their
 // own: SubmissionChanges then sets record.DependencyParts and replaces record.Spec by a copy without
-// dependencies.
+// dependencies. A job whose end would not fit is refused, since it could never be cancelled.
 func SubmissionChanges(record *Job, limits Limits) ([]wire.Change, error) {
 	maxBytes := limits.MaxValueBytes()
 	value, err := record.MarshalJSON()
 	if err != nil {
 		return nil, err
 	}
+	if !record.fitsOnceEnded(limits) {
+		return nil, ErrTooLarge
+	}
 	key := JobKey(record.Spec.ID)
 	if len(value) <= maxBytes {
 		return []wire.Change{{PutKey: key, Value: value}}, nil
