scheduler: request machines for an aged gang whose reserved room is far off

Cause: an aged gang may reserve room that is free later than a rented machine would be ready, and no machine is requested for a gang with a reservation.

Change: a reservation stands in for a request only if its room is free as soon as a machine requested now. For other reservations machines are requested for the tasks that have no free room.

Evidence: TestAgedGangIsRequestedWhereReservedRoomIsFarOff failed in all three cases before: nothing was requested.

--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -100,7 +100,8 @@
 
 // placeGang places either all waiting tasks of a gang or none. In a gang that is partly placed these
 // are the tasks that it lost before it was complete. If the best slots are not all free yet, it
-// reserves them instead. It returns the number of tasks that placeOnSlots placed or reserved room for,
+// reserves them instead. No machines are requested for the gang while they would not be ready sooner than its reserved
+// room: an aged gang may wait for a task that runs for hours. It returns the number of tasks that placeOnSlots placed or reserved room for,
 // or 0 if placeOnSlots was not called.
 func (cycle *schedulingCycle) placeGang(queued *queuedJob) int {
 	if len(queued.readyTasks) != queued.job.WaitingCount() || queued.taskLimit < len(queued.readyTasks) {
@@ -112,6 +113,10 @@
 		return 0
 	case slices.ContainsFunc(slots, func(slot gangSlot) bool { return !slot.isFree }):
 		cycle.reserveSlots(queued, slots, readyBy)
+		queued.hasReservation = readyBy <= cycle.maxReservationSeconds(queued.job, slots)
+		if !queued.hasReservation {
+			queued.countReserved(slots)
+		}
 		return 0
 	}
 	return cycle.placeOnSlots(queued, slots)
@@ -137,10 +142,23 @@
 	return best, bestReadyBy
 }
 
+// countReserved counts the tasks of a gang for which room that is free now is reserved, so that machines are requested
+// only for the others. A gang that needs one zone may find its machines in another, so nothing is counted for it.
+func (queued *queuedJob) countReserved(slots []gangSlot) {
+	if queued.job.Spec.SingleZone {
+		return
+	}
+	queued.reservedByZone = map[string]int{}
+	for _, slot := range slots {
+		if slot.isFree {
+			queued.reservedByZone[slot.machine.Zone] += slot.taskCount
+		}
+	}
+}
+
 // reserveSlots reserves room for a gang and stops the work that has to be stopped for the room to be
-// free in time. No machines are requested for the gang while it has a reservation.
+// free in time.
 func (cycle *schedulingCycle) reserveSlots(queued *queuedJob, slots []gangSlot, readyBy float64) {
-	queued.hasReservation = true
 	tasksByMachine := map[*allocation.Machine]int{}
 	for _, slot := range slots {
 		tasksByMachine[slot.machine] += slot.taskCount
--- a/internal/scheduler/gangslots_test.go
+++ b/internal/scheduler/gangslots_test.go
@@ -190,6 +190,46 @@
 	}
 }
 
+// Guards against an aged gang that waits for tasks that run for hours, because it has reserved their room, while the cloud
+// has machines. Only the machines for tasks without free room are requested, and they take part of the gang at once.
+func TestAgedGangIsRequestedWhereReservedRoomIsFarOff(t *testing.T) {
+	for _, testCase := range []struct {
+		tasks          int
+		single, spread bool
+		want           int // machines for tasks of 6 CPUs on machines of 16 CPUs
+	}{{4, false, false, 1}, {6, false, true, 2}, {2, true, false, 1}} {
+		fixture := newFixture(map[string]allocation.TeamQuota{"a": {}, "b": {}})
+		occupied := 2
+		for i := range occupied { // room for one task of the gang beside each
+			fixture.addOccupant(t, fmt.Sprintf("req-1%05d", i), wire.KindArray, 6, fixture.addMachine(fmt.Sprintf("i-%d", i), "big", []string{"x", "y"}[i], false))
+		}
+		if testCase.spread {
+			fixture.addOccupant(t, "req-100009", wire.KindArray, 6, fixture.addMachine("i-9", "big", "z", false))
+		}
+		gang := fixture.addJob(wire.Job{
+			ID: "req-000001", Team: "a", Kind: wire.KindGang, TaskCount: testCase.tasks, CPUs: 6, EstimatedRunSeconds: 60,
+			SingleZone: testCase.single, SpreadZones: testCase.spread, MachineTypes: []string{"big"},
+		})
+		fixture.now += fixture.scheduler.Settings.AgingThreshold
+		decision := fixture.plan()
+		got := 0
+		for _, request := range decision.ScaleOut {
+			got += request.Count
+		}
+		if got != testCase.want {
+			t.Errorf("aged gang %+v beside tasks of hours: got %d machines requested (%v), want %d", testCase, got, decision.ScaleOut, testCase.want)
+		}
+		for i, request := range decision.ScaleOut {
+			for k := range request.Count {
+				fixture.addMachine(fmt.Sprintf("i-2%d%d", i, k), request.Pool.Type, request.Pool.Zone, request.Pool.Spot)
+			}
+		}
+		if fixture.plan(); gang.ActiveCount() != testCase.tasks {
+			t.Errorf("aged gang %+v: got %d tasks placed once the requested machines are up, want all", testCase, gang.ActiveCount())
+		}
+	}
+}
+
 // Slots never have more room than the machine: those that are free now no more than is free, those to which work
 // gives way no more than is free and may be stopped or ends.
 func TestGangSlotsFitTheMachine(t *testing.T) {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -29,9 +29,11 @@
 	isLossUnconfirmed bool
 	// hasShortfall is true if the job needs more room than will be free one boot time from now.
 	hasShortfall bool
-	// hasReservation is true if this plan has reserved room for the job; the rest of the plan
-	// skips it.
+	// hasReservation is true if this plan has reserved room for the job that will be free as soon as a machine
+	// requested now would be ready; the rest of the plan skips it.
 	hasReservation bool
+	// reservedByZone counts, by zone, the tasks of a gang without such a reservation for which free room is reserved.
+	reservedByZone map[string]int
 }
 
 // buildQueue returns the waiting jobs in the order in which the plan places them.
--- a/internal/scheduler/scaleout.go
+++ b/internal/scheduler/scaleout.go
@@ -26,6 +26,9 @@
 	var requestedPools []*poolForecast // in the order in which the queue first needs them
 	for _, queued := range wanted {
 		shortfall := jobShortfall{queued: queued, remaining: queued.unplaced, requiredZone: cycle.chooseZone(queued.job, forecast), tasksByZone: map[string]int{}}
+		for zone, taskCount := range queued.reservedByZone {
+			shortfall.assignToZone(zone, taskCount)
+		}
 		shortfall.allocateFromForecast(forecast)
 		if shortfall.remaining <= 0 {
 			continue
