scheduler: don't count on the end of a task that has outlived its forecast

Cause: what ends within a boot time counts as room. Where the run times of a class vary little, the conditional expectation (50) of a task that is late by minutes is a few seconds, for over ten minutes.

Change: a task that has run for more than four times its predicted run time is expected to run for as long again as it has.

--- a/internal/scheduler/prediction.go
+++ b/internal/scheduler/prediction.go
@@ -31,9 +31,13 @@
 // maxRemainingSeconds is the longest predicted remaining run that RemainingRun treats as finite.
 const maxRemainingSeconds = 1e6
 
+// outlivedFactor is how many times its predicted run time a task may run until the model's expectation of its rest no longer
+// counts. Where the run times of a class vary little, that expectation stays below a boot time for many times the prediction.
+const outlivedFactor = 4
+
 // estimateRemainingSeconds computes the prediction for a placement (50). If the task has not
 // started, it is the time of the image fetch plus the part of the predicted run time that is not
-// covered by the checkpoint.
+// covered by the checkpoint. A task that has outlived its prediction is expected to run for as long again as it has run.
 func (scheduler *Scheduler) estimateRemainingSeconds(placement *allocation.Placement, now clock.Micros) float64 {
 	job := placement.Job
 	savedSeconds := job.Tasks[placement.TaskIndex].CheckpointedSeconds
@@ -47,7 +51,11 @@
 	if placement.RunningAt != 0 {
 		elapsed += (now - placement.RunningAt).Seconds()
 	}
-	return scheduler.RunTimeModel(job.Spec.Class).RemainingSeconds(job.Spec.EstimatedRunSeconds, elapsed)
+	remaining := scheduler.RunTimeModel(job.Spec.Class).RemainingSeconds(job.Spec.EstimatedRunSeconds, elapsed)
+	if elapsed > outlivedFactor*scheduler.predictedRunSeconds(job) {
+		return max(remaining, elapsed)
+	}
+	return remaining
 }
 
 // elapsedSeconds is how long ago, in seconds, a placement was made. An adopted placement was made
--- a/internal/scheduler/scaleout_test.go
+++ b/internal/scheduler/scaleout_test.go
@@ -266,3 +266,35 @@
 		wait = min(2*wait, taskCount*gangRetryInterval<<maxGangRetryShift)
 	}
 }
+
+// Guards against jobs that wait for the end of a task that runs far beyond its estimate: it counted as ending within a boot
+// time for as long as it ran, so that no machine was requested for work that could use its room.
+func TestNoWaitForTasksThatOutliveTheirForecast(t *testing.T) {
+	const estimate, observedRuns = 20, 50
+	for _, kind := range []string{wire.KindArray, wire.KindService, wire.KindGang} {
+		for _, age := range []clock.Micros{0, 60 * clock.Second, 200 * clock.Second, 700 * clock.Second} {
+			fixture := newFixture(map[string]allocation.TeamQuota{"a": {}, "b": {}})
+			occupant := fixture.addJob(wire.Job{ID: "req-000001", Class: "c", Team: "a", TaskCount: 1, CPUs: 16, EstimatedRunSeconds: estimate})
+			for i := range observedRuns { // most tasks of the class run for about their estimate
+				fixture.scheduler.ObserveTaskRun(occupant, estimate*(0.8+0.4*float64(i)/observedRuns), fixture.now)
+			}
+			machine := fixture.addMachine("i-0", "big", "x", false)
+			if err := fixture.tracker.PlaceTask(occupant, 0, machine, fixture.tracker.NextAttempt(), fixture.now); err != nil {
+				t.Fatal(err)
+			}
+			fixture.reportTasks(machine, wire.TaskRunning)
+			startedAt := fixture.now
+			fixture.now += age
+			waiting := fixture.addJob(wire.Job{ID: "req-000002", Class: "d", Team: "b", Kind: kind, TaskCount: 1, CPUs: 16, MachineTypes: []string{"big"}, EstimatedRunSeconds: 60})
+			bootTime := fixture.scheduler.BootTime("big", medianBootPercentile)
+			deadline := max(startedAt+clock.FromSeconds(outlivedFactor*estimate), fixture.now) + bootTime
+			isRequested := false
+			for ; fixture.now <= deadline && !isRequested; fixture.now += clock.Second {
+				isRequested = len(fixture.plan().ScaleOut) > 0
+			}
+			if !isRequested {
+				t.Errorf("%s that waits for a task of age %v s with an estimate of %d s: no machine is requested within %v s", waiting.Spec.Kind, age.Seconds(), estimate, (deadline - startedAt - age).Seconds())
+			}
+		}
+	}
+}
