sim: late copies of executed starts reach workers in every state of a job

It can't happen here: an attempt that a command request has started is reaped only once the worker has seen a higher token than that request's, so that it refuses every copy (invariant 2 of package allocation). While the attempt is listed, a copy has no effect. Starts in replies are dropped after 4 s, before which the attempt is still listed.

Generated histories and the soak deliver such copies as well.

--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -72,6 +72,8 @@
 	violations   []string // descriptions of duplicate executions
 	messages     MessageCounts
 
+	executedRequests []executedRequest // the last command requests that workers have executed
+
 	// Lifecycle.
 	done       chan struct{}  // closed when the cloud is stopped
 	goroutines sync.WaitGroup // the workers' goroutines and runAdvanceLoop
@@ -113,6 +115,16 @@
 	}
 }
 
+// isStopped reports whether the cloud is stopped.
+func (cloud *Cloud) isStopped() bool {
+	select {
+	case <-cloud.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // SetCapacity bounds how many machines there are at a time. 0 means that there is no bound.
 func (cloud *Cloud) SetCapacity(machines int) {
 	cloud.mu.Lock()
--- a/internal/fake/message_counts.go
+++ b/internal/fake/message_counts.go
@@ -2,8 +2,8 @@
 
 import "firwood.dev/firwood/wire"
 
-// MessageCounts counts messages of workers that exceed the size that PROTOCOL allows (wire.MaxBodyBytes), and what
-// follows from them. Workers keep to that limit: they refuse larger command requests and don't read larger
+// MessageCounts counts messages of workers that exceed the size that PROTOCOL allows (wire.MaxBodyBytes), what
+// follows from them, and copies of command requests. Workers keep to that limit: they refuse larger command requests and don't read larger
 // replies.
 type MessageCounts struct {
 	// LargestHeartbeat is the size in bytes of the largest heartbeat that a worker sent, and OversizedHeartbeats is
@@ -14,6 +14,8 @@
 	OversizedReplies, RefusedCommandRequests int
 	// LeasesLostWithTasks is how often a lease expired while tasks were on the machine.
 	LeasesLostWithTasks int
+	// ExecutedCopies is how many copies of command requests workers have executed, most of them without effect.
+	ExecutedCopies int
 }
 
 // Messages returns the counts so far.
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -33,6 +33,7 @@
 	// heartbeat is the next heartbeat. It also holds the present state of the tasks on the machine.
 	heartbeat         wire.Heartbeat
 	lastHeartbeatBody []byte
+	lastReply         *wire.HeartbeatResponse // the reply to the last heartbeat, or nil if there is none that the worker has accepted
 	// leaseStartedAt is when the worker's lease last began: when the last answered heartbeat was
 	// sent, when the worker was created, or when the previous lease was found to have expired.
 	leaseStartedAt time.Time
@@ -106,7 +107,7 @@
 		panic(err)
 	}
 	cloud.messages.countHeartbeat(body)
-	worker.lastHeartbeatBody = body
+	worker.lastHeartbeatBody, worker.lastReply = body, nil
 	controller := cloud.cfg.ControllerNames[worker.controllerIndex%len(cloud.cfg.ControllerNames)]
 	url := "http://" + cloud.cfg.ControllerAddresses[controller] + "/checkin"
 	cloud.mu.Unlock()
@@ -126,7 +127,7 @@
 	case 200:
 		var reply wire.HeartbeatResponse
 		if json.Unmarshal(responseBody, &reply) == nil && reply.FencingToken >= worker.heartbeat.FencingToken && incarnation == worker.heartbeat.Incarnation {
-			worker.leaseStartedAt = sentAt
+			worker.leaseStartedAt, worker.lastReply = sentAt, &reply
 			return worker.applyReply(&reply)
 		}
 		return cloud.cfg.HeartbeatInterval
--- a/internal/fake/worker_tasks.go
+++ b/internal/fake/worker_tasks.go
@@ -35,10 +35,10 @@
 	worker.serveCommandRequest(w, &request)
 }
 
-// waitWhileHanging waits while the machine hangs, unless the machine is deleted. The cloud's lock is held
-// when waitWhileHanging is called and when it returns, but not while it waits.
+// waitWhileHanging waits while the machine hangs, unless the machine is deleted or the cloud is stopped. The cloud's
+// lock is held when waitWhileHanging is called and when it returns, but not while it waits.
 func (worker *workerProcess) waitWhileHanging() {
-	for worker.fault == MachineHanging && !worker.isDeleted {
+	for worker.fault == MachineHanging && !worker.isDeleted && !worker.cloud.isStopped() {
 		worker.cloud.mu.Unlock()
 		time.Sleep(advanceInterval)
 		worker.cloud.mu.Lock()
@@ -65,10 +65,20 @@
 	worker.requestHeartbeat()
 }
 
-// applyCommandRequest executes a command request and reports whether it did. It rejects a request whose
+// applyCommandRequest executes a command request and reports whether it did. It records an executed one. The caller
+// holds the cloud's lock.
+func (worker *workerProcess) applyCommandRequest(request *wire.CommandRequest) bool {
+	if !worker.executeIfValid(request) {
+		return false
+	}
+	worker.cloud.recordExecuted(worker, request)
+	return true
+}
+
+// executeIfValid executes a command request and reports whether it did. It rejects a request whose
 // token is lower than the last one that the worker has seen, or whose incarnation is not the worker's, and
 // any request to a deleted machine. The caller holds the cloud's lock.
-func (worker *workerProcess) applyCommandRequest(request *wire.CommandRequest) bool {
+func (worker *workerProcess) executeIfValid(request *wire.CommandRequest) bool {
 	worker.advance()
 	if worker.isDeleted || request.FencingToken < worker.heartbeat.FencingToken || request.Incarnation != worker.heartbeat.Incarnation {
 		return false
--- a/internal/sim/generated_history_test.go
+++ b/internal/sim/generated_history_test.go
@@ -230,6 +230,7 @@
 		history.heartbeatCopies = history.Cloud.LastHeartbeats()
 	case 7:
 		history.ReplayHeartbeats(history.heartbeatCopies)
+		history.Cloud.RedeliverCommandRequests()
 	case 8:
 		if len(history.jobs) > 0 {
 			history.getJobEverywhere(history.jobs[history.random.IntN(len(history.jobs))].ID)
--- a/internal/sim/soak_test.go
+++ b/internal/sim/soak_test.go
@@ -171,6 +171,7 @@
 	switch history.random.IntN(4) {
 	case 0:
 		history.ReplayHeartbeats(history.heartbeatCopies)
+		history.Cloud.RedeliverCommandRequests()
 	case 1:
 		history.heartbeatCopies = history.Cloud.LastHeartbeats()
 	}
