allocation: count what tasks take rounded up, in millionths

Cause: amounts were rounded to the nearest thousandth, so a task counted as less than it takes, and a machine or a limit as more than it has.

Change: amounts are whole millionths. NewRequest rounds up, NewCapacity down; decimals of up to six places are exact. A limit that is rounded to 0 stays one.

--- a/internal/allocation/actions_test.go
+++ b/internal/allocation/actions_test.go
@@ -197,7 +197,7 @@
 		worker.deleted = true
 		sim.tracker.RemoveMachine(machine, sim.now)
 		replacement := sim.newWorker()
-		sim.tracker.AddMachine(replacement.name, "t", replacement.zone, false, Resources{MilliCPU: 4000, MemoryMB: 1 << 40}, sim.now).RecordedInStore = true
+		sim.tracker.AddMachine(replacement.name, "t", replacement.zone, false, Resources{MicroCPU: 4 * Unit, MicroGB: 1 << 50}, sim.now).RecordedInStore = true
 	}
 }
 
--- a/internal/allocation/bench_test.go
+++ b/internal/allocation/bench_test.go
@@ -13,7 +13,7 @@
 	tb.Helper()
 	tracker := New(Config{FencingToken: 7, LeaseTTL: testLeaseTTL, CancelFenceWindow: 20 * clock.Second})
 	tracker.FinishRecovery()
-	machine := tracker.AddMachine("i-000001", "t", "x", false, Resources{MilliCPU: int64(taskCount) * 1000, MemoryMB: 1 << 40}, 1)
+	machine := tracker.AddMachine("i-000001", "t", "x", false, Resources{MicroCPU: int64(taskCount) * Unit, MicroGB: 1 << 50}, 1)
 	machine.RecordedInStore = true
 	job := tracker.AddJob(&wire.Job{ID: "req-000001", Kind: wire.KindArray, Priority: wire.PriorityNormal, TaskCount: taskCount, CPUs: 1, Team: "a"}, 0, 1, true, nil)
 	heartbeat := newHeartbeat(machine, 1, 1, 7)
--- a/internal/allocation/eligibility.go
+++ b/internal/allocation/eligibility.go
@@ -6,7 +6,7 @@
 func (tracker *Tracker) isWithinQuota(team string, additional Resources) bool {
 	quota := tracker.cfg.Quotas[team]
 	usage := tracker.TeamUsage(team).Add(additional)
-	return (quota.MaxMilliCPU == 0 || usage.MilliCPU <= quota.MaxMilliCPU) && (quota.MaxMilliGPU == 0 || usage.MilliGPU <= quota.MaxMilliGPU)
+	return (quota.MaxMicroCPU == 0 || usage.MicroCPU <= quota.MaxMicroCPU) && (quota.MaxMicroGPU == 0 || usage.MicroGPU <= quota.MaxMicroGPU)
 }
 
 // IsEligible reports whether the job's spec allows one more of its tasks on the machine, by the
--- a/internal/allocation/fake_worker_test.go
+++ b/internal/allocation/fake_worker_test.go
@@ -181,13 +181,13 @@
 			if task.state != wire.TaskExited {
 				jobID, _, _ := wire.ParseTaskID(id)
 				spec := sim.specs[jobID]
-				usageByTeam[spec.Team] += NewResources(spec.CPUs, 0, 0).MilliCPU
+				usageByTeam[spec.Team] += NewRequest(spec.CPUs, 0, 0).MicroCPU
 			}
 		}
 	}
 	for team, used := range usageByTeam {
 		if used > sim.cpuLimit {
-			sim.fatal("team %s uses %d thousandths of a CPU, want at most %d", team, used, sim.cpuLimit)
+			sim.fatal("team %s uses %d millionths of a CPU, want at most %d", team, used, sim.cpuLimit)
 		}
 	}
 }
--- a/internal/allocation/gang_stop_test.go
+++ b/internal/allocation/gang_stop_test.go
@@ -15,7 +15,7 @@
 	tracker.FinishRecovery()
 	var machines []*Machine
 	for _, name := range []string{"i-1", "i-2", "i-3"} {
-		machine := tracker.AddMachine(name, "t", "x", false, Resources{MilliCPU: 1000, MemoryMB: 8000}, 1)
+		machine := tracker.AddMachine(name, "t", "x", false, Resources{MicroCPU: 1 * Unit, MicroGB: 8 * Unit}, 1)
 		machine.RecordedInStore = true
 		tracker.RecordLeaseRenewal(machine, 1)
 		tracker.RecordHeartbeat(machine, newHeartbeat(machine, 1, 1, 7), 1)
--- a/internal/allocation/history_test.go
+++ b/internal/allocation/history_test.go
@@ -37,7 +37,7 @@
 func newSimulation(t *testing.T, seed uint64) *simulation {
 	t.Helper()
 	sim := &simulation{
-		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), dependencyRNG: rand.New(rand.NewPCG(seed, 2)), now: clock.Second, cpuLimit: 5000,
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), dependencyRNG: rand.New(rand.NewPCG(seed, 2)), now: clock.Second, cpuLimit: 5 * Unit,
 		simulatedJobs: simulatedJobs{specs: map[string]*wire.Job{}, startsRecorded: map[string]bool{}, doneTasks: map[string]map[int]bool{}, cancelled: map[string]bool{}},
 	}
 	for i := 0; i < 3; i++ {
@@ -93,7 +93,7 @@
 
 // checkJobs checks the task counts of jobs and the unconfirmed usage of teams.
 func (sim *simulation) checkJobs() {
-	unconfirmedByTeam := map[string]int64{} // thousandths of a CPU that unconfirmed, unplaced tasks may use
+	unconfirmedByTeam := map[string]int64{} // millionths of a CPU that unconfirmed, unplaced tasks may use
 	for id, job := range sim.tracker.Jobs {
 		waiting, unconfirmed := 0, 0
 		for i := range job.Tasks {
@@ -108,7 +108,7 @@
 				waiting++
 			}
 			if job.Tasks[i].Unconfirmed && job.Tasks[i].Placement == nil {
-				unconfirmedByTeam[job.Spec.Team] += job.Request.MilliCPU
+				unconfirmedByTeam[job.Spec.Team] += job.Request.MicroCPU
 			}
 			if job.Tasks[i].Unconfirmed {
 				unconfirmed++
@@ -119,8 +119,8 @@
 		}
 	}
 	for team, usage := range sim.tracker.unconfirmedUsage {
-		if usage.MilliCPU != unconfirmedByTeam[team] {
-			sim.fatal("team %s: got unconfirmed usage of %d thousandths of a CPU, want %d", team, usage.MilliCPU, unconfirmedByTeam[team])
+		if usage.MicroCPU != unconfirmedByTeam[team] {
+			sim.fatal("team %s: got unconfirmed usage of %d millionths of a CPU, want %d", team, usage.MicroCPU, unconfirmedByTeam[team])
 		}
 	}
 }
--- a/internal/allocation/job_tracking.go
+++ b/internal/allocation/job_tracking.go
@@ -12,7 +12,7 @@
 // completion of the task with an index is durable; if it is nil, no task is done.
 func (tracker *Tracker) AddJob(spec *wire.Job, releasedAt, now clock.Micros, startsRecorded bool, isDurable func(int) bool) *Job {
 	job := &Job{
-		Spec: spec, Request: NewResources(spec.CPUs, spec.GPUs, spec.MemoryGB),
+		Spec: spec, Request: NewRequest(spec.CPUs, spec.GPUs, spec.MemoryGB),
 		Priority: wire.PriorityIndex(spec.Priority), StartsRecorded: startsRecorded,
 		Tasks:      make([]Task, spec.TaskCount),
 		JobTimes:   JobTimes{ReleasedAt: releasedAt, AddedAt: now},
--- a/internal/allocation/late_copy_test.go
+++ b/internal/allocation/late_copy_test.go
@@ -14,7 +14,7 @@
 	tracker := New(Config{FencingToken: 9, LeaseTTL: testLeaseTTL})
 	var machines []*Machine
 	for _, name := range []string{"i-0", "i-1", "i-2"} {
-		machine := tracker.AddMachine(name, "t", "x", false, Resources{MilliCPU: 4000, MemoryMB: 1 << 40}, 0)
+		machine := tracker.AddMachine(name, "t", "x", false, Resources{MicroCPU: 4 * Unit, MicroGB: 1 << 50}, 0)
 		machine.RecordedInStore = true
 		machines = append(machines, machine)
 	}
@@ -39,8 +39,8 @@
 	tracker, machines, job := newSuccessorTracker(wire.KindArray)
 	now := clock.Second
 	tracker.RecordHeartbeat(machines[0], heartbeatListing("i-0", 5, 4, 40, 0), now) // a late copy: the task now runs on i-1
-	if usage := tracker.TeamUsage(""); job.ActiveCount() != 1 || job.UnconfirmedCount() != 2 || usage.MilliCPU != 2000 {
-		t.Fatalf("after the late copy: got %d placements, %d unconfirmed tasks and a team usage of %d, want 1, 2 and 2000", job.ActiveCount(), job.UnconfirmedCount(), usage.MilliCPU)
+	if usage := tracker.TeamUsage(""); job.ActiveCount() != 1 || job.UnconfirmedCount() != 2 || usage.MicroCPU != 2*Unit {
+		t.Fatalf("after the late copy: got %d placements, %d unconfirmed tasks and a team usage of %d, want 1, 2 and %d", job.ActiveCount(), job.UnconfirmedCount(), usage.MicroCPU, 2*Unit)
 	}
 	tracker.RecordHeartbeat(machines[0], heartbeatListing("i-0", 9, 9, 0), now) // i-0's current heartbeat, under the new token
 	tracker.RecordHeartbeat(machines[2], heartbeatListing("i-2", 9, 9, 0), now)
@@ -58,8 +58,8 @@
 	if err := tracker.PlaceTask(job, 1, machines[2], tracker.NextAttempt(), now); err != nil {
 		t.Fatalf("place task 1 after reconciliation: %v", err)
 	}
-	if usage := tracker.TeamUsage(""); usage.MilliCPU != 2000 {
-		t.Fatalf("after task 1 was placed: got a team usage of %d, want 2000", usage.MilliCPU)
+	if usage := tracker.TeamUsage(""); usage.MicroCPU != 2*Unit {
+		t.Fatalf("after task 1 was placed: got a team usage of %d, want %d", usage.MicroCPU, 2*Unit)
 	}
 }
 
--- a/internal/allocation/message_bench_test.go
+++ b/internal/allocation/message_bench_test.go
@@ -15,7 +15,7 @@
 		for _, isStopped := range []bool{true, false} {
 			b.Run(fmt.Sprintf("%d tasks, stops %v", taskCount, isStopped), func(b *testing.B) {
 				tracker := New(Config{FencingToken: 1, LeaseTTL: testLeaseTTL})
-				machine := tracker.AddMachine("i-1", "t", "x", false, Resources{MilliCPU: 64000, MemoryMB: 1 << 40}, 1)
+				machine := tracker.AddMachine("i-1", "t", "x", false, Resources{MicroCPU: 64 * Unit, MicroGB: 1 << 50}, 1)
 				job := tracker.AddJob(&wire.Job{ID: "req-000001", Kind: wire.KindArray, Team: "a", TaskCount: taskCount, Priority: wire.PriorityNormal}, 0, 1, true, nil)
 				heartbeat := &wire.Heartbeat{MachineID: "i-1", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1, FencingToken: 1}
 				for i := range taskCount {
--- a/internal/allocation/message_size_test.go
+++ b/internal/allocation/message_size_test.go
@@ -21,7 +21,7 @@
 // this version places on a machine.
 func newTrackerWithListedTasks(taskCount int) (*Tracker, *Machine, *wire.Heartbeat) {
 	tracker := New(Config{FencingToken: 1, LeaseTTL: testLeaseTTL})
-	machine := tracker.AddMachine("i-1", "t", "x", false, Resources{MilliCPU: 64000, MemoryMB: 1 << 40}, 1)
+	machine := tracker.AddMachine("i-1", "t", "x", false, Resources{MicroCPU: 64 * Unit, MicroGB: 1 << 50}, 1)
 	machine.RecordedInStore = true
 	tracker.AddJob(&wire.Job{ID: "req-000001", Kind: wire.KindArray, Team: "a", TaskCount: taskCount + 10, Priority: wire.PriorityNormal, CheckpointSaveSeconds: 2.5}, 0, 1, true, nil)
 	heartbeat := &wire.Heartbeat{MachineID: "i-1", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1, FencingToken: 1}
--- a/internal/allocation/replication_test.go
+++ b/internal/allocation/replication_test.go
@@ -49,7 +49,7 @@
 	replicator := &recordingReplicator{replicatedUpTo: 100}
 	tracker := New(Config{FencingToken: 9, LeaseTTL: testLeaseTTL, Replicator: replicator})
 	tracker.FinishRecovery()
-	machine := tracker.AddMachine("i-0", "t", "x", false, Resources{MilliCPU: 8000, MemoryMB: 1 << 40}, 0)
+	machine := tracker.AddMachine("i-0", "t", "x", false, Resources{MicroCPU: 8 * Unit, MicroGB: 1 << 50}, 0)
 	machine.RecordedInStore, machine.Address = true, "a:1"
 	job := tracker.AddJob(&wire.Job{ID: "req-000001", Kind: wire.KindArray, TaskCount: 3, CPUs: 1}, 0, 0, true, nil)
 	tracker.RecordHeartbeat(machine, heartbeatListing("i-0", 1, 9, 0), 1)
@@ -102,8 +102,8 @@
 	for kind, want := range map[string]int{wire.KindArray: 1, wire.KindGang: 3} {
 		tracker := New(Config{FencingToken: 9, LeaseTTL: testLeaseTTL, MayHaveStarted: func(task string) bool { return task == wire.TaskID("req-000001", 1) }})
 		job := tracker.AddJob(&wire.Job{ID: "req-000001", Kind: kind, TaskCount: 3, CPUs: 1, Team: "a"}, 0, 0, true, nil)
-		if job.UnconfirmedCount() != want || tracker.TeamUsage("a").MilliCPU != int64(want)*1000 {
-			t.Errorf("%s: got %d unconfirmed tasks and team usage of %d milli-CPUs, want 1 task for an array and 3 for a gang, of 1000 each", kind, job.UnconfirmedCount(), tracker.TeamUsage("a").MilliCPU)
+		if job.UnconfirmedCount() != want || tracker.TeamUsage("a").MicroCPU != int64(want)*Unit {
+			t.Errorf("%s: got %d unconfirmed tasks and team usage of %d millionths of a CPU, want 1 task for an array and 3 for a gang, of a CPU each", kind, job.UnconfirmedCount(), tracker.TeamUsage("a").MicroCPU)
 		}
 	}
 }
@@ -115,7 +115,7 @@
 	replicator := &recordingReplicator{t: t, replicatedUpTo: 100}
 	tracker := New(Config{FencingToken: 9, LeaseTTL: testLeaseTTL, Replicator: replicator, MayHaveStarted: mayHaveStarted})
 	for _, name := range []string{"i-0", "i-1"} {
-		tracker.AddMachine(name, "t", "x", false, Resources{MilliCPU: 64000, MemoryMB: 1 << 40}, 0).RecordedInStore = true
+		tracker.AddMachine(name, "t", "x", false, Resources{MicroCPU: 64 * Unit, MicroGB: 1 << 50}, 0).RecordedInStore = true
 	}
 	job := tracker.AddJob(&wire.Job{ID: "req-000001", Kind: wire.KindArray, TaskCount: tasks, CPUs: 1}, 0, 0, true, nil)
 	tracker.FinishRecovery()
--- a/internal/allocation/simulation_test.go
+++ b/internal/allocation/simulation_test.go
@@ -39,7 +39,7 @@
 	// delegatedUntil is until when other controllers may renew workers' leases.
 	delegatedUntil clock.Micros
 	follower       *follower // the standby that follows the current leader
-	cpuLimit       int64     // CPU limit of each team, in thousandths
+	cpuLimit       int64     // CPU limit of each team, in millionths
 	simulatedJobs
 	delayedMessages
 	simulationCounts
@@ -246,7 +246,7 @@
 	sim.token += 1 + sim.rng.Uint64N(4)
 	cfg := Config{
 		FencingToken: sim.token, LeaseTTL: testLeaseTTL, CancelFenceWindow: 10 * clock.Second,
-		Quotas: map[string]TeamQuota{"a": {MaxMilliCPU: sim.cpuLimit}, "b": {MaxMilliCPU: sim.cpuLimit}},
+		Quotas: map[string]TeamQuota{"a": {MaxMicroCPU: sim.cpuLimit}, "b": {MaxMicroCPU: sim.cpuLimit}},
 	}
 	if sim.follower != nil && sim.rng.IntN(4) > 0 {
 		// The follower of the previous leader takes over. That leader may itself have begun with a follower's table.
@@ -258,7 +258,7 @@
 	sim.tracker = New(cfg)
 	for _, worker := range sim.workers {
 		if !worker.deleted {
-			sim.tracker.AddMachine(worker.name, "t", worker.zone, false, Resources{MilliCPU: 4000, MemoryMB: 1 << 40}, sim.now).RecordedInStore = true
+			sim.tracker.AddMachine(worker.name, "t", worker.zone, false, Resources{MicroCPU: 4 * Unit, MicroGB: 1 << 50}, sim.now).RecordedInStore = true
 		}
 	}
 	ids := make([]string, 0, len(sim.specs))
--- a/internal/allocation/start_check_test.go
+++ b/internal/allocation/start_check_test.go
@@ -35,13 +35,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			for _, channel := range []commandChannel{channelHeartbeatReply, channelCommandRequest} {
 				channelName := map[commandChannel]string{channelHeartbeatReply: "heartbeat reply", channelCommandRequest: "command request"}[channel]
-				tracker := New(Config{FencingToken: 7, LeaseTTL: testLeaseTTL, CancelFenceWindow: 20 * clock.Second, Quotas: map[string]TeamQuota{"limited": {MaxMilliCPU: 1000}}})
+				tracker := New(Config{FencingToken: 7, LeaseTTL: testLeaseTTL, CancelFenceWindow: 20 * clock.Second, Quotas: map[string]TeamQuota{"limited": {MaxMicroCPU: 1 * Unit}}})
 				tracker.FinishRecovery()
 				spec := c.spec
 				spec.ID, spec.Kind, spec.Priority, spec.TaskCount, spec.CPUs = "req-000001", wire.KindArray, wire.PriorityNormal, 2, 1
 				f := fixture{tracker: tracker, job: tracker.AddJob(&spec, 0, 1, true, nil)}
-				f.machine = tracker.AddMachine("i-1", "t", "x", false, Resources{MilliCPU: 8000, MemoryMB: 8000}, 1)
-				f.second = tracker.AddMachine("i-2", "t", "y", false, Resources{MilliCPU: 8000, MemoryMB: 8000}, 1)
+				f.machine = tracker.AddMachine("i-1", "t", "x", false, Resources{MicroCPU: 8 * Unit, MicroGB: 8 * Unit}, 1)
+				f.second = tracker.AddMachine("i-2", "t", "y", false, Resources{MicroCPU: 8 * Unit, MicroGB: 8 * Unit}, 1)
 				f.machine.RecordedInStore, f.second.RecordedInStore = true, true
 				tracker.RecordHeartbeat(f.machine, newHeartbeat(f.machine, 1, 1, 7), 1)
 				if err := tracker.PlaceTask(f.job, 0, f.machine, tracker.NextAttempt(), 2); err != nil {
--- a/internal/allocation/tracker_test.go
+++ b/internal/allocation/tracker_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	tracker := New(Config{FencingToken: 7, LeaseTTL: testLeaseTTL, CancelFenceWindow: 20 * clock.Second})
 	tracker.FinishRecovery()
-	machine := tracker.AddMachine("i-1", "t", "x", false, Resources{MilliCPU: 8000, MemoryMB: 8000}, 1)
+	machine := tracker.AddMachine("i-1", "t", "x", false, Resources{MicroCPU: 8 * Unit, MicroGB: 8 * Unit}, 1)
 	machine.RecordedInStore = true
 	job := tracker.AddJob(&wire.Job{ID: "req-000001", Kind: kind, Priority: wire.PriorityNormal, TaskCount: tasks, CPUs: 1, Team: "a"}, 0, 1, true, nil)
 	if tracker.RecordHeartbeat(machine, newHeartbeat(machine, 1, 1, 7), 1) != HeartbeatAccepted {
--- a/internal/controller/submission.go
+++ b/internal/controller/submission.go
@@ -98,7 +98,7 @@
 	if !ok {
 		return "unknown team"
 	}
-	taskNeed := allocation.NewResources(job.CPUs, job.GPUs, job.MemoryGB)
+	taskNeed := allocation.NewRequest(job.CPUs, job.GPUs, job.MemoryGB)
 	if !slices.ContainsFunc(controller.machineTypes.list, func(machineType wire.MachineType) bool { return fitsMachineType(job, taskNeed, &machineType) }) {
 		return "a task fits no allowed machine type"
 	}
@@ -117,13 +117,13 @@
 func fitsMachineType(job *wire.Job, taskNeed allocation.Resources, machineType *wire.MachineType) bool {
 	return (job.MachineTypes == nil || slices.Contains(job.MachineTypes, machineType.Name)) &&
 		(job.Zone == "" || slices.Contains(machineType.Zones, job.Zone)) &&
-		taskNeed.IsWithin(allocation.NewResources(machineType.CPUs, machineType.GPUs, machineType.MemoryGB))
+		taskNeed.IsWithin(allocation.NewCapacity(machineType.CPUs, machineType.GPUs, machineType.MemoryGB))
 }
 
 // exceedsTeamLimit reports whether a need exceeds a team's CPU or GPU limit. A limit of 0 means that
 // there is none.
 func exceedsTeamLimit(need allocation.Resources, team allocation.TeamQuota) bool {
-	return team.MaxMilliCPU > 0 && need.MilliCPU > team.MaxMilliCPU || team.MaxMilliGPU > 0 && need.MilliGPU > team.MaxMilliGPU
+	return team.MaxMicroCPU > 0 && need.MicroCPU > team.MaxMicroCPU || team.MaxMicroGPU > 0 && need.MicroGPU > team.MaxMicroGPU
 }
 
 // invalidDependencyReason returns why a job's dependencies prevent it from ever running, or "" if they
--- a/internal/leader/fleet_log.go
+++ b/internal/leader/fleet_log.go
@@ -25,9 +25,9 @@
 	if machine.IsIdle() {
 		use.idle++
 	}
-	use.cpus += machine.Capacity.MilliCPU / 1000
+	use.cpus += machine.Capacity.MicroCPU / allocation.Unit
 	machine.ForEachPlacement(func(placement *allocation.Placement) {
-		cpus := placement.Job.Request.MilliCPU / 1000
+		cpus := placement.Job.Request.MicroCPU / allocation.Unit
 		if placement.Job.IsService() {
 			use.replicaCPUs += cpus
 		} else {
--- a/internal/leader/settings.go
+++ b/internal/leader/settings.go
@@ -51,15 +51,25 @@
 func teamQuotas(teams []config.Team) map[string]allocation.TeamQuota {
 	quotas := map[string]allocation.TeamQuota{}
 	for _, team := range teams {
-		guaranteed := allocation.NewResources(team.GuaranteedCPUs, team.GuaranteedGPUs, 0)
-		limit := allocation.NewResources(team.MaxCPUs, team.MaxGPUs, 0)
+		guaranteed := allocation.NewCapacity(team.GuaranteedCPUs, team.GuaranteedGPUs, 0)
+		limit := allocation.NewCapacity(team.MaxCPUs, team.MaxGPUs, 0)
 		quotas[team.Name] = allocation.TeamQuota{
-			GuaranteedMilliCPU: guaranteed.MilliCPU, GuaranteedMilliGPU: guaranteed.MilliGPU, MaxMilliCPU: limit.MilliCPU, MaxMilliGPU: limit.MilliGPU,
+			GuaranteedMicroCPU: guaranteed.MicroCPU, GuaranteedMicroGPU: guaranteed.MicroGPU,
+			MaxMicroCPU: quotaLimit(team.MaxCPUs, limit.MicroCPU), MaxMicroGPU: quotaLimit(team.MaxGPUs, limit.MicroGPU),
 		}
 	}
 	return quotas
 }
 
+// quotaLimit returns a limit in millionths, given the configured one and that rounded down. One that is rounded to 0 is still
+// a limit, while 0 means that there is none.
+func quotaLimit(configured float64, rounded int64) int64 {
+	if configured > 0 {
+		return max(rounded, 1)
+	}
+	return 0
+}
+
 // newDelegationConfig returns the delegation settings for workers that may try every other member before
 // they come back to this one. A worker waits one second before each other member and tries it for four
 // seconds. If there is only one zone, no partition leaves a worker with a single member: the other members
--- a/internal/scheduler/deadline.go
+++ b/internal/scheduler/deadline.go
@@ -68,7 +68,7 @@
 func (scheduler *Scheduler) minCompletionSeconds(job *allocation.Job, runSeconds float64) float64 {
 	quota := scheduler.Teams[job.Spec.Team]
 	waves := 1.0
-	for _, resource := range [...]struct{ limit, request int64 }{{quota.MaxMilliCPU, job.Request.MilliCPU}, {quota.MaxMilliGPU, job.Request.MilliGPU}} {
+	for _, resource := range [...]struct{ limit, request int64 }{{quota.MaxMicroCPU, job.Request.MicroCPU}, {quota.MaxMicroGPU, job.Request.MicroGPU}} {
 		if resource.limit > 0 && resource.request > 0 {
 			waves = max(waves, math.Ceil(float64(job.WaitingCount())/float64(max(resource.limit/resource.request, 1))))
 		}
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -197,7 +197,7 @@
 		var job *allocation.Job
 		next := 0
 		for _, machine := range machines {
-			for float64(machine.Used().MilliCPU) < filledFraction*float64(machine.Capacity.MilliCPU) {
+			for float64(machine.Used().MicroCPU) < filledFraction*float64(machine.Capacity.MicroCPU) {
 				if job == nil || next == len(job.Tasks) {
 					job, next = addWaitingJob(jobKind, jobSize), 0
 					job.Spec.SpreadZones = false
--- a/internal/scheduler/gang_test.go
+++ b/internal/scheduler/gang_test.go
@@ -65,7 +65,7 @@
 		{"old work", 300 * clock.Second, wire.PriorityHigh, allocation.TeamQuota{}, false, 0},
 		{"adopted work, half of which may be over", 3 * clock.Second, wire.PriorityHigh, allocation.TeamQuota{}, true, 0},
 		{"work of its priority", 3 * clock.Second, wire.PriorityNormal, allocation.TeamQuota{}, false, 0},
-		{"entitled work", 3 * clock.Second, wire.PriorityHigh, allocation.TeamQuota{GuaranteedMilliGPU: 8000}, false, 0},
+		{"entitled work", 3 * clock.Second, wire.PriorityHigh, allocation.TeamQuota{GuaranteedMicroGPU: 8 * allocation.Unit}, false, 0},
 	} {
 		fixture, batch := newFullGPUFixture(t, 2, wire.Job{EstimatedRunSeconds: 1000})
 		fixture.scheduler.Teams["a"] = testCase.team
--- a/internal/scheduler/gangslots_test.go
+++ b/internal/scheduler/gangslots_test.go
@@ -33,7 +33,8 @@
 	for _, spec := range []wire.Job{
 		{TaskCount: 4},
 		{TaskCount: wire.MaxTasks},
-		{TaskCount: wire.MaxTasks, CPUs: 0.0004}, // rounded to nothing
+		{TaskCount: wire.MaxTasks, CPUs: 0.0004},
+		{TaskCount: wire.MaxTasks, CPUs: 0.0000004}, // less than the smallest amount
 		{TaskCount: wire.MaxTasks, CPUs: 0.001},
 		{TaskCount: wire.MaxTasks, MemoryGB: 0.001, SpreadZones: true},
 		{TaskCount: 30000, GPUs: 0.001, SingleZone: true}, // a third of the machines lists no more
--- a/internal/scheduler/placement_test.go
+++ b/internal/scheduler/placement_test.go
@@ -108,7 +108,7 @@
 // newPlacementFixture generates machines, some of them with images, and waiting arrays and services.
 func newPlacementFixture(seed uint64) *schedulerFixture {
 	rng := rand.New(rand.NewPCG(seed, 21))
-	fixture := newFixture(map[string]allocation.TeamQuota{"a": {MaxMilliCPU: int64(20+rng.IntN(100)) * 1000}})
+	fixture := newFixture(map[string]allocation.TeamQuota{"a": {MaxMicroCPU: int64(20+rng.IntN(100)) * allocation.Unit}})
 	for i := rng.IntN(30); i >= 0; i-- {
 		machine := fixture.addMachine(fmt.Sprintf("i-%02d", i), []string{"big", "small"}[rng.IntN(2)], []string{"x", "y", "z"}[rng.IntN(3)], rng.IntN(2) == 0)
 		if rng.IntN(2) == 0 {
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -16,7 +16,7 @@
 	rng := rand.New(rand.NewPCG(6, 6))
 	placed, gangs := 0, 0
 	for workload := 0; workload < 400; workload++ {
-		fixture := newFixture(map[string]allocation.TeamQuota{"a": {GuaranteedMilliCPU: 8000, MaxMilliCPU: 40000}, "b": {MaxMilliGPU: 3000}})
+		fixture := newFixture(map[string]allocation.TeamQuota{"a": {GuaranteedMicroCPU: 8 * allocation.Unit, MaxMicroCPU: 40 * allocation.Unit}, "b": {MaxMicroGPU: 3 * allocation.Unit}})
 		for i := rng.IntN(8); i >= 0; i-- {
 			fixture.addMachine(fmt.Sprint("i-", i), []string{"big", "small"}[rng.IntN(2)], []string{"x", "y"}[rng.IntN(2)], rng.IntN(2) == 0)
 		}
@@ -48,7 +48,7 @@
 				t.Fatalf("workload %d: the tasks on %s use more than its capacity", workload, machine.Name)
 			}
 		}
-		if usage["a"].MilliCPU > 40000 || usage["b"].MilliGPU > 3000 {
+		if usage["a"].MicroCPU > 40*allocation.Unit || usage["b"].MicroGPU > 3*allocation.Unit {
 			t.Fatalf("workload %d: usage by team %v is above a team's limit", workload, usage)
 		}
 	}
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -121,7 +121,7 @@
 }
 
 // fetchCost is the cost of the image fetch that a replica would have to wait for on a machine, in
-// milli-CPU-seconds of lost work. It is 0 if the image is cached, and for jobs other than services.
+// millionths of a CPU-second of lost work. It is 0 if the image is cached, and for jobs other than services.
 // A fetch at an unknown rate counts as 1 s. Without this cost, three in four replicas of a busy day
 // replaced batch work on machines without their image and had to wait for the fetch.
 func (cycle *schedulingCycle) fetchCost(job *allocation.Job, machine *allocation.Machine) float64 {
@@ -132,7 +132,7 @@
 	if machineType := cycle.scheduler.MachineTypes[machine.Type]; machineType.FetchGBPerSecond > 0 {
 		fetchSeconds = job.Spec.ImageSizeGB / machineType.FetchGBPerSecond
 	}
-	return replicaFetchWeight * fetchSeconds * float64(job.Request.MilliCPU)
+	return replicaFetchWeight * fetchSeconds * float64(job.Request.MicroCPU)
 }
 
 // replicaFetchWeight is how many seconds of lost batch work one second of a replica's wait for its
@@ -142,7 +142,7 @@
 // preemptionOption is a machine where a task can start once the victims are stopped.
 type preemptionOption struct {
 	// candidate's score is the negated cost of the start: the lost work and the weighted image
-	// fetch, in milli-CPU-seconds.
+	// fetch, in millionths of a CPU-second.
 	candidate
 	victims []*allocation.Placement
 }
@@ -165,7 +165,7 @@
 	for ; victimCount < len(victims) && !job.Request.IsWithin(available); victimCount++ {
 		victim := victims[victimCount]
 		available = available.Add(victim.Job.Request)
-		cost += cycle.scheduler.elapsedSeconds(victim, cycle.now) * float64(victim.Job.Request.MilliCPU)
+		cost += cycle.scheduler.elapsedSeconds(victim, cycle.now) * float64(victim.Job.Request.MicroCPU)
 	}
 	return preemptionOption{candidate{machine, -cost - fetchCost}, victims[:victimCount]}, job.Request.IsWithin(available)
 }
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -11,7 +11,7 @@
 
 // The queue is ordered by smallest need first, within priority and quota entitlement.
 func TestQueueOrderIsSmallestNeedFirst(t *testing.T) {
-	fixture := newFixture(map[string]allocation.TeamQuota{"a": {GuaranteedMilliCPU: 4000}, "b": {}})
+	fixture := newFixture(map[string]allocation.TeamQuota{"a": {GuaranteedMicroCPU: 4 * allocation.Unit}, "b": {}})
 	fixture.addMachine("i-0", "big", "x", false)
 	fixture.addJob(wire.Job{ID: "req-000001", Team: "b", TaskCount: 1, CPUs: 4, EstimatedRunSeconds: 50})
 	fixture.addJob(wire.Job{ID: "req-000002", Team: "b", TaskCount: 1, CPUs: 4, EstimatedRunSeconds: 20})
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -10,14 +10,14 @@
 // A guarantee of 0 means that the team has none of that resource. One resource is enough: if all
 // were required, a quota of GPUs alone would entitle no job, since jobs with GPUs take CPUs too.
 func hasGuaranteeFor(quota allocation.TeamQuota, need allocation.Resources) bool {
-	return quota.GuaranteedMilliCPU > 0 && need.MilliCPU > 0 || quota.GuaranteedMilliGPU > 0 && need.MilliGPU > 0
+	return quota.GuaranteedMicroCPU > 0 && need.MicroCPU > 0 || quota.GuaranteedMicroGPU > 0 && need.MicroGPU > 0
 }
 
 // isWithinGuarantee reports whether a team's usage is within its guaranteed quota, in each resource
 // for which the team has a guarantee.
 func isWithinGuarantee(quota allocation.TeamQuota, usage allocation.Resources) bool {
-	return (quota.GuaranteedMilliCPU <= 0 || usage.MilliCPU <= quota.GuaranteedMilliCPU) &&
-		(quota.GuaranteedMilliGPU <= 0 || usage.MilliGPU <= quota.GuaranteedMilliGPU)
+	return (quota.GuaranteedMicroCPU <= 0 || usage.MicroCPU <= quota.GuaranteedMicroCPU) &&
+		(quota.GuaranteedMicroGPU <= 0 || usage.MicroGPU <= quota.GuaranteedMicroGPU)
 }
 
 // quotaEntitlements returns the jobs that fit into their team's guaranteed quota together with all
@@ -26,7 +26,7 @@
 	byTeam := map[string][]*allocation.Job{}
 	for _, job := range tracker.Jobs {
 		isUnfinished := !job.Cancelled && !job.IsComplete() && job.Dependencies != allocation.DependenciesUnmet
-		if quota := scheduler.Teams[job.Spec.Team]; isUnfinished && (quota.GuaranteedMilliCPU > 0 || quota.GuaranteedMilliGPU > 0) {
+		if quota := scheduler.Teams[job.Spec.Team]; isUnfinished && (quota.GuaranteedMicroCPU > 0 || quota.GuaranteedMicroGPU > 0) {
 			byTeam[job.Spec.Team] = append(byTeam[job.Spec.Team], job)
 		}
 	}
@@ -53,11 +53,11 @@
 	quota := cycle.scheduler.Teams[job.Spec.Team]
 	usage := cycle.tracker.TeamUsage(job.Spec.Team)
 	n := len(job.Tasks)
-	if quota.MaxMilliCPU > 0 && job.Request.MilliCPU > 0 {
-		n = min(n, int((quota.MaxMilliCPU-usage.MilliCPU)/job.Request.MilliCPU))
+	if quota.MaxMicroCPU > 0 && job.Request.MicroCPU > 0 {
+		n = min(n, int((quota.MaxMicroCPU-usage.MicroCPU)/job.Request.MicroCPU))
 	}
-	if quota.MaxMilliGPU > 0 && job.Request.MilliGPU > 0 {
-		n = min(n, int((quota.MaxMilliGPU-usage.MilliGPU)/job.Request.MilliGPU))
+	if quota.MaxMicroGPU > 0 && job.Request.MicroGPU > 0 {
+		n = min(n, int((quota.MaxMicroGPU-usage.MicroGPU)/job.Request.MicroGPU))
 	}
 	n = max(n, 0)
 	if job.IsGang() && n < job.WaitingCount() {
--- a/internal/scheduler/quota_test.go
+++ b/internal/scheduler/quota_test.go
@@ -20,12 +20,12 @@
 		want []bool
 	}{
 		{"none", allocation.TeamQuota{}, []wire.Job{both, cpus}, []bool{false, false}},
-		{"GPUs alone", allocation.TeamQuota{GuaranteedMilliGPU: 4000}, []wire.Job{both, both, both}, []bool{true, true, false}},
-		{"GPUs alone, a job without any", allocation.TeamQuota{GuaranteedMilliGPU: 4000}, []wire.Job{cpus, both}, []bool{false, true}},
-		{"CPUs alone", allocation.TeamQuota{GuaranteedMilliCPU: 16000}, []wire.Job{both, cpus, cpus}, []bool{true, true, false}},
-		{"both, GPUs short", allocation.TeamQuota{GuaranteedMilliCPU: 80000, GuaranteedMilliGPU: 2000}, []wire.Job{both, both}, []bool{true, false}},
-		{"both, CPUs short", allocation.TeamQuota{GuaranteedMilliCPU: 8000, GuaranteedMilliGPU: 8000}, []wire.Job{both, both}, []bool{true, false}},
-		{"job after one that exceeds the quota", allocation.TeamQuota{GuaranteedMilliGPU: 3000}, []wire.Job{{TaskCount: 4, GPUs: 1}, both}, []bool{false, false}},
+		{"GPUs alone", allocation.TeamQuota{GuaranteedMicroGPU: 4 * allocation.Unit}, []wire.Job{both, both, both}, []bool{true, true, false}},
+		{"GPUs alone, a job without any", allocation.TeamQuota{GuaranteedMicroGPU: 4 * allocation.Unit}, []wire.Job{cpus, both}, []bool{false, true}},
+		{"CPUs alone", allocation.TeamQuota{GuaranteedMicroCPU: 16 * allocation.Unit}, []wire.Job{both, cpus, cpus}, []bool{true, true, false}},
+		{"both, GPUs short", allocation.TeamQuota{GuaranteedMicroCPU: 80 * allocation.Unit, GuaranteedMicroGPU: 2 * allocation.Unit}, []wire.Job{both, both}, []bool{true, false}},
+		{"both, CPUs short", allocation.TeamQuota{GuaranteedMicroCPU: 8 * allocation.Unit, GuaranteedMicroGPU: 8 * allocation.Unit}, []wire.Job{both, both}, []bool{true, false}},
+		{"job after one that exceeds the quota", allocation.TeamQuota{GuaranteedMicroGPU: 3 * allocation.Unit}, []wire.Job{{TaskCount: 4, GPUs: 1}, both}, []bool{false, false}},
 	} {
 		fixture := newFixture(map[string]allocation.TeamQuota{"a": testCase.team})
 		var jobs []*allocation.Job
@@ -45,21 +45,21 @@
 // The free fraction of a machine is that of its scarcest resource: a machine with all GPUs in use has
 // no room and does not count as a spare, however many CPUs are free.
 func TestFreeFractionIsThatOfScarcestResource(t *testing.T) {
-	size := allocation.Resources{MilliCPU: 12000, MilliGPU: 2000, MemoryMB: 96000}
+	size := allocation.Resources{MicroCPU: 12 * allocation.Unit, MicroGPU: 2 * allocation.Unit, MicroGB: 96 * allocation.Unit}
 	for _, testCase := range []struct {
 		used allocation.Resources
 		want float64
 	}{
 		{allocation.Resources{}, 1},
-		{allocation.Resources{MilliCPU: 5000, MilliGPU: 1000, MemoryMB: 36000}, 0.5},
-		{allocation.Resources{MilliCPU: 10000, MilliGPU: 2000, MemoryMB: 72000}, 0},
-		{allocation.Resources{MilliCPU: 3000, MemoryMB: 72000}, 0.25},
+		{allocation.Resources{MicroCPU: 5 * allocation.Unit, MicroGPU: 1 * allocation.Unit, MicroGB: 36 * allocation.Unit}, 0.5},
+		{allocation.Resources{MicroCPU: 10 * allocation.Unit, MicroGPU: 2 * allocation.Unit, MicroGB: 72 * allocation.Unit}, 0},
+		{allocation.Resources{MicroCPU: 3 * allocation.Unit, MicroGB: 72 * allocation.Unit}, 0.25},
 	} {
 		if got := freeFraction(size.Sub(testCase.used), size); !isAlmostEqual(got, testCase.want) {
 			t.Errorf("freeFraction with %v of %v used: got %v, want %v", testCase.used, size, got, testCase.want)
 		}
 	}
-	if got := freeFraction(allocation.Resources{MilliCPU: 4000}, allocation.Resources{MilliCPU: 16000}); !isAlmostEqual(got, 0.25) {
+	if got := freeFraction(allocation.Resources{MicroCPU: 4 * allocation.Unit}, allocation.Resources{MicroCPU: 16 * allocation.Unit}); !isAlmostEqual(got, 0.25) {
 		t.Errorf("freeFraction of a machine without GPUs: got %v, want 0.25", got)
 	}
 }
@@ -67,7 +67,7 @@
 // Tasks that were started by aging are not stopped for entitled jobs. Otherwise each plan would place
 // them and stop them again.
 func TestAgedWorkIsNotPreemptedForQuota(t *testing.T) {
-	fixture := newFixture(map[string]allocation.TeamQuota{"a": {}, "b": {GuaranteedMilliGPU: 100000}})
+	fixture := newFixture(map[string]allocation.TeamQuota{"a": {}, "b": {GuaranteedMicroGPU: 100 * allocation.Unit}})
 	machine := fixture.addMachine("i-0", "big", "x", false)
 	for _, zone := range fixture.scheduler.Zones {
 		fixture.scheduler.backoffFor(Pool{"big", zone, false}).backoffUntil = 1e15
@@ -83,7 +83,7 @@
 		}
 	}
 	// Work that was not started by aging and is outside its team's guaranteed quota is preempted.
-	fixture = newFixture(map[string]allocation.TeamQuota{"a": {}, "b": {GuaranteedMilliGPU: 100000}})
+	fixture = newFixture(map[string]allocation.TeamQuota{"a": {}, "b": {GuaranteedMicroGPU: 100 * allocation.Unit}})
 	machine = fixture.addMachine("i-0", "big", "x", false)
 	youngJob := fixture.addJob(wire.Job{ID: "req-000001", Team: "a", TaskCount: 2, CPUs: 5, GPUs: 1, EstimatedRunSeconds: 50})
 	fixture.plan()
--- a/internal/scheduler/resources.go
+++ b/internal/scheduler/resources.go
@@ -7,7 +7,7 @@
 // dominantShare is the largest share that a need takes of any resource of a machine.
 func dominantShare(need, size allocation.Resources) float64 {
 	share := 0.0
-	for _, dimension := range [][2]int64{{need.MilliCPU, size.MilliCPU}, {need.MilliGPU, size.MilliGPU}, {need.MemoryMB, size.MemoryMB}} {
+	for _, dimension := range [][2]int64{{need.MicroCPU, size.MicroCPU}, {need.MicroGPU, size.MicroGPU}, {need.MicroGB, size.MicroGB}} {
 		if dimension[1] > 0 {
 			share = max(share, float64(dimension[0])/float64(dimension[1]))
 		}
@@ -35,9 +35,9 @@
 }
 
 func componentMax(a, b allocation.Resources) allocation.Resources {
-	return allocation.Resources{MilliCPU: max(a.MilliCPU, b.MilliCPU), MilliGPU: max(a.MilliGPU, b.MilliGPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), ReportBytes: max(a.ReportBytes, b.ReportBytes)}
+	return allocation.Resources{MicroCPU: max(a.MicroCPU, b.MicroCPU), MicroGPU: max(a.MicroGPU, b.MicroGPU), MicroGB: max(a.MicroGB, b.MicroGB), ReportBytes: max(a.ReportBytes, b.ReportBytes)}
 }
 
 func componentMin(a, b allocation.Resources) allocation.Resources {
-	return allocation.Resources{MilliCPU: min(a.MilliCPU, b.MilliCPU), MilliGPU: min(a.MilliGPU, b.MilliGPU), MemoryMB: min(a.MemoryMB, b.MemoryMB), ReportBytes: min(a.ReportBytes, b.ReportBytes)}
+	return allocation.Resources{MicroCPU: min(a.MicroCPU, b.MicroCPU), MicroGPU: min(a.MicroGPU, b.MicroGPU), MicroGB: min(a.MicroGB, b.MicroGB), ReportBytes: min(a.ReportBytes, b.ReportBytes)}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -116,7 +116,7 @@
 // MachineCapacity is the capacity of machines of a type, or zero if the type is unknown.
 func (scheduler *Scheduler) MachineCapacity(typeName string) allocation.Resources {
 	machineType := scheduler.MachineTypes[typeName]
-	capacity := allocation.NewResources(machineType.CPUs, machineType.GPUs, machineType.MemoryGB)
+	capacity := allocation.NewCapacity(machineType.CPUs, machineType.GPUs, machineType.MemoryGB)
 	capacity.ReportBytes = allocation.MachineReportBytes
 	return capacity
 }
--- a/internal/scheduler/starvation_test.go
+++ b/internal/scheduler/starvation_test.go
@@ -17,7 +17,7 @@
 func TestNoStarvationUnderOverload(t *testing.T) {
 	for seed := uint64(1); seed <= 6; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 12))
-		fixture := newFixture(map[string]allocation.TeamQuota{"a": {GuaranteedMilliCPU: 64000, MaxMilliCPU: 160000}, "b": {GuaranteedMilliCPU: 64000, MaxMilliCPU: 160000}})
+		fixture := newFixture(map[string]allocation.TeamQuota{"a": {GuaranteedMicroCPU: 64 * allocation.Unit, MaxMicroCPU: 160 * allocation.Unit}, "b": {GuaranteedMicroCPU: 64 * allocation.Unit, MaxMicroCPU: 160 * allocation.Unit}})
 		for i := 0; i < 12; i++ {
 			fixture.addMachine(fmt.Sprintf("i-%02d", i), "big", []string{"x", "y", "z"}[i%3], true)
 		}
