scheduler: keep idle machines that a waiting gang counts on

Cause: a machine counted as idle although the forecast of the same plan has room on it for a waiting gang; only a reservation keeps a machine, and that takes all machines to be up.

Change: idle machines on which the forecast places a gang's tasks are kept, for three boots at most. Then the attempt to get the gang's machines has failed: they are returned, and requested again after the wait that grows with the machines needed and with each failure.

--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -45,16 +45,20 @@
 }
 
 // allocate allocates resources for up to limit tasks in a pool and returns the number of tasks
-// that fit.
-func (forecast *capacityForecast) allocate(capacity *poolForecast, need allocation.Resources, limit int) int {
+// that fit. It calls visit for each machine that exists and takes some of them.
+func (forecast *capacityForecast) allocate(capacity *poolForecast, need allocation.Resources, limit int, visit func(*allocation.Machine)) int {
 	allocated := 0
 	remaining := capacity.expected[:0]
 	for i := range capacity.expected {
 		expected := capacity.expected[i]
+		before := allocated
 		for allocated < limit && need.IsWithin(expected.free) {
 			expected.free = expected.free.Sub(need)
 			allocated++
 		}
+		if allocated > before && expected.machine != nil {
+			visit(expected.machine)
+		}
 		if allocated == limit && len(remaining) == i {
 			capacity.expected[i] = expected // no earlier machine was removed, so the list stays as it is
 			return allocated
--- a/internal/scheduler/cycle.go
+++ b/internal/scheduler/cycle.go
@@ -18,9 +18,10 @@
 	entitled   map[*allocation.Job]bool // jobs within their team's guaranteed quota
 	zoneHealth map[string]*zoneHealth
 
-	// These slices are indexed by SortIndex. The first three are the scheduler's reused buffers.
+	// These slices are indexed by SortIndex. The first four are the scheduler's reused buffers.
 	reserved     []allocation.Resources // room for jobs whose starts are not recorded yet, and for gangs
 	gangReserved []bool                 // whether a gang has reserved room that is not all free yet
+	heldForGang  []bool                 // whether the machine is idle and a gang that waits for further machines counts on it
 	busySeconds  []float64              // seconds until the last task ends; -1 if not computed yet
 	releasing    []allocation.Resources // resources of stopping tasks; the slice is nil until computed
 }
@@ -83,7 +84,9 @@
 	buffers.reserved = zeroedSlice(buffers.reserved, len(cycle.machines))
 	buffers.gangReserved = zeroedSlice(buffers.gangReserved, len(cycle.machines))
 	buffers.busySeconds = zeroedSlice(buffers.busySeconds, len(cycle.machines))
+	buffers.heldForGang = zeroedSlice(buffers.heldForGang, len(cycle.machines))
 	cycle.reserved, cycle.gangReserved, cycle.busySeconds = buffers.reserved, buffers.gangReserved, buffers.busySeconds
+	cycle.heldForGang = buffers.heldForGang
 	for i := range cycle.busySeconds {
 		cycle.busySeconds[i] = -1
 	}
--- a/internal/scheduler/gangretry.go
+++ b/internal/scheduler/gangretry.go
@@ -15,15 +15,21 @@
 	maxGangRetryShift  = 3
 	maxGangRetryWait   = 600 * clock.Second
 	maxRetriedMachines = int(maxGangRetryWait / gangRetryInterval) // from this many machines on the first wait is the longest
+
+	// gangHoldBoots is how many boots, each of the time by which a machine is no longer expected, a gang's idle machines are kept
+	// for it: one that doesn't come up is replaced, and so may be its replacement.
+	gangHoldBoots = 3
 )
 
 // gangAttempt is an attempt to get the machines of a gang from the cloud. It fails when each pool that the gang may use
-// has refused since it began and the existing machines can't hold the gang. What the pools refused before it
-// began doesn't count, since the cloud may have machines again.
+// has refused since it began and the existing machines can't hold the gang, or when machines have been kept idle for
+// the gang for too long. What the pools refused before it began doesn't count, since the cloud may have machines again.
 type gangAttempt struct {
-	startedAt clock.Micros
-	retryAt   clock.Micros // when the next attempt begins, or 0 while this one has not failed
-	failures  int          // consecutive attempts that failed
+	startedAt     clock.Micros
+	retryAt       clock.Micros // when the next attempt begins, or 0 while this one has not failed
+	failures      int          // consecutive attempts that failed
+	holdsSince    clock.Micros // since when idle machines have been kept for the gang, or 0 if there are none
+	isHoldExpired bool         // whether the attempt has failed because machines were kept idle for too long
 }
 
 // attemptStart returns when the current attempt to get a gang's machines began, or 0 if there was no other before.
@@ -38,11 +44,7 @@
 // now. A part of a gang's machines is of no use and is paid for until it is deleted, so the wait grows with the
 // machines that the gang needs and with the attempts that failed.
 func (scheduler *Scheduler) mayRetryGang(queued *queuedJob, now clock.Micros) bool {
-	attempt := scheduler.gangAttempts[queued.job]
-	if attempt == nil {
-		attempt = &gangAttempt{}
-		scheduler.gangAttempts[queued.job] = attempt
-	}
+	attempt := scheduler.gangAttempt(queued.job)
 	if attempt.retryAt == 0 {
 		attempt.retryAt = now + gangRetryWait(queued.machinesNeeded, attempt.failures)
 		attempt.failures++
@@ -50,10 +52,52 @@
 	if now < attempt.retryAt {
 		return false
 	}
-	attempt.startedAt, attempt.retryAt = now, 0
+	*attempt = gangAttempt{startedAt: now, failures: attempt.failures}
 	return true
 }
 
+// gangAttempt returns the attempt to get a gang's machines, and begins the first one if there is none.
+func (scheduler *Scheduler) gangAttempt(job *allocation.Job) *gangAttempt {
+	attempt := scheduler.gangAttempts[job]
+	if attempt == nil {
+		attempt = &gangAttempt{}
+		scheduler.gangAttempts[job] = attempt
+	}
+	return attempt
+}
+
+// holdIdleMachines keeps the idle machines on which a gang's tasks have room from being deleted, while the gang waits for
+// further machines. Without that, machines that came up at different times were returned one after the other, each
+// before the last one was up (docs/incidents/returned-before-the-last.md). After holdTimeout the attempt to get the
+// gang's machines has failed. It reports whether the attempt goes on, or the next one begins.
+func (cycle *schedulingCycle) holdIdleMachines(shortfall *jobShortfall) (isAttemptOpen bool) {
+	queued := shortfall.queued
+	attempt := cycle.scheduler.gangAttempt(queued.job)
+	if attempt.isHoldExpired && !cycle.scheduler.mayRetryGang(queued, cycle.now) {
+		return false
+	}
+	if len(shortfall.idleMachines) == 0 {
+		attempt.holdsSince = 0
+		return true
+	}
+	if attempt.holdsSince == 0 {
+		attempt.holdsSince = cycle.now
+	}
+	for _, machine := range shortfall.idleMachines {
+		if cycle.now-attempt.holdsSince > cycle.holdTimeout(queued.job, machine.Type) {
+			attempt.isHoldExpired = true
+			return cycle.scheduler.mayRetryGang(queued, cycle.now)
+		}
+		cycle.heldForGang[machine.SortIndex] = true
+	}
+	return true
+}
+
+// holdTimeout is how long idle machines of a type are kept for a gang.
+func (cycle *schedulingCycle) holdTimeout(job *allocation.Job, typeName string) clock.Micros {
+	return gangHoldBoots*cycle.scheduler.BootTime(typeName, latestBootPercentile) + clock.FromSeconds(cycle.scheduler.imageFetchSeconds(job, typeName))
+}
+
 func gangRetryWait(machinesNeeded, failures int) clock.Micros {
 	wait := clock.Micros(min(machinesNeeded, maxRetriedMachines)) * gangRetryInterval
 	return min(wait<<min(failures, maxGangRetryShift), maxGangRetryWait)
@@ -66,8 +110,8 @@
 	})
 }
 
-// mayRequestMachines reports whether machines may be requested for a job now. It is false for a gang that the cloud
-// could not hold in the current attempt, until the next one begins.
+// mayRequestMachines reports whether machines may be requested for a job now. It is false for a gang whose current attempt
+// has failed, until the next one begins.
 func (cycle *schedulingCycle) mayRequestMachines(queued *queuedJob, requiredZone string) bool {
 	if !queued.job.IsGang() || !cycle.isInfeasible(queued.job, requiredZone) {
 		return true
--- a/internal/scheduler/scalein.go
+++ b/internal/scheduler/scalein.go
@@ -8,15 +8,15 @@
 	"firwood.dev/firwood/internal/clock"
 )
 
-// planScaleIn deletes machines of a kind that have been idle for too long, except for the
-// idleToKeep machines that became idle last, which the spare target keeps.
+// planScaleIn deletes machines of a kind that have been idle for too long, except for those that a waiting
+// gang counts on and the idleToKeep machines that became idle last, which the spare target keeps.
 func (cycle *schedulingCycle) planScaleIn(kind machineKind, idleToKeep int, decision *Decision) {
 	if cycle.hasUnconfirmedTasks(kind) {
 		return
 	}
 	var idle []*allocation.Machine
 	for _, machine := range cycle.machines {
-		if machineKind(machine.Spot) == kind && machine.IsSchedulable() && machine.IsIdle() && cycle.reserved[machine.SortIndex] == (allocation.Resources{}) {
+		if machineKind(machine.Spot) == kind && machine.IsSchedulable() && machine.IsIdle() && !cycle.heldForGang[machine.SortIndex] && cycle.reserved[machine.SortIndex] == (allocation.Resources{}) {
 			idle = append(idle, machine)
 		}
 	}
--- a/internal/scheduler/scaleout.go
+++ b/internal/scheduler/scaleout.go
@@ -30,10 +30,10 @@
 			shortfall.assignToZone(zone, taskCount)
 		}
 		shortfall.allocateFromForecast(forecast)
-		if shortfall.remaining <= 0 {
+		queued.hasShortfall = shortfall.remaining > 0
+		if queued.job.IsGang() && !cycle.holdIdleMachines(&shortfall) || !queued.hasShortfall {
 			continue
 		}
-		queued.hasShortfall = true
 		if cycle.mayRequestMachines(queued, shortfall.requiredZone) {
 			requestedPools = cycle.requestMachines(&shortfall, forecast, requestedPools)
 		}
@@ -46,9 +46,10 @@
 // jobShortfall tracks how many of a job's tasks have found no room in the forecast yet.
 type jobShortfall struct {
 	queued       *queuedJob
-	remaining    int            // tasks without room
-	tasksByZone  map[string]int // tasks for which this plan has found room, by zone
-	requiredZone string         // the only zone that the job may use, or "" if it may use any
+	remaining    int                   // tasks without room
+	tasksByZone  map[string]int        // tasks for which this plan has found room, by zone
+	requiredZone string                // the only zone that the job may use, or "" if it may use any
+	idleMachines []*allocation.Machine // idle machines on which this plan has found room for tasks
 }
 
 // zoneAllowance is how many more tasks of the job may be assigned to a zone.
@@ -69,11 +70,18 @@
 			continue
 		}
 		if count := shortfall.zoneAllowance(zone); count > 0 {
-			shortfall.assignToZone(zone, forecast.allocate(capacity, job.Request, count))
+			shortfall.assignToZone(zone, forecast.allocate(capacity, job.Request, count, shortfall.visitMachine))
 		}
 	}
 }
 
+// visitMachine records a machine on which this plan has found room for tasks, if it is idle.
+func (shortfall *jobShortfall) visitMachine(machine *allocation.Machine) {
+	if machine.IsIdle() && machine.FirstHeartbeatAt != 0 {
+		shortfall.idleMachines = append(shortfall.idleMachines, machine)
+	}
+}
+
 func (shortfall *jobShortfall) assignToZone(zone string, taskCount int) {
 	shortfall.tasksByZone[zone] += taskCount
 	shortfall.remaining -= taskCount
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -62,6 +62,7 @@
 type buffers struct {
 	reserved     []allocation.Resources
 	gangReserved []bool
+	heldForGang  []bool
 	busySeconds  []float64
 }
 
