scheduler: end each task's wait for a spot machine

Cause: a job waited for spot machines without end while any task of it ran. Otherwise the wait counted from when the present leader had learnt of the job, so each change of leader began it anew.

Change: each task waits for spot_patience_s, or four times that if other tasks of its array run, from the end of its last placement or from when its job could start, which is in the job's record. On-demand machines are requested only for tasks whose wait is over.

--- a/internal/allocation/job.go
+++ b/internal/allocation/job.go
@@ -43,6 +43,9 @@
 	// RetryAt is when the backoff after a failure ends, or 0 if there is no backoff. The scheduler
 	// doesn't place the task before; PlaceTask doesn't check it.
 	RetryAt clock.Micros
+	// WaitsSince is when the task's last placement ended, on the monotonic clock, or 0 if the task has had none under
+	// this leader.
+	WaitsSince clock.Micros
 	// CheckpointedSeconds is how many seconds of the task's run its checkpoints cover, as far as this
 	// leader has seen. Only forecasts use it.
 	CheckpointedSeconds float64
--- a/internal/allocation/placement.go
+++ b/internal/allocation/placement.go
@@ -226,6 +226,7 @@
 		placement.addCheckpointedProgress(now)
 	}
 	if job.Tasks[placement.TaskIndex].Placement == placement {
+		job.Tasks[placement.TaskIndex].WaitsSince = now
 		tracker.updateTaskAfterPlacement(placement, cause)
 	}
 	if job.IsGang() && job.activeCount == 0 {
--- a/internal/scheduler/cycle.go
+++ b/internal/scheduler/cycle.go
@@ -11,7 +11,8 @@
 type schedulingCycle struct {
 	scheduler  *Scheduler
 	tracker    *allocation.Tracker
-	now        clock.Micros
+	now        clock.Micros          // monotonic time
+	wallNow    clock.Micros          // wall-clock time
 	machines   []*allocation.Machine // sorted; a machine's SortIndex is its index in this slice
 	pools      []*poolView
 	minNeed    allocation.Resources     // component-wise minimum of the queued jobs' requests
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -50,7 +50,7 @@
 	entitled := scheduler.quotaEntitlements(tracker)
 	queue := scheduler.buildQueue(tracker, entitled, now, wallNow)
 	cycle := scheduler.newCycle(tracker, queue, now)
-	cycle.entitled = entitled
+	cycle.entitled, cycle.wallNow = entitled, wallNow
 	for _, queued := range queue {
 		cycle.placeJob(queued, &decision)
 	}
--- a/internal/scheduler/poolchoice.go
+++ b/internal/scheduler/poolchoice.go
@@ -10,7 +10,8 @@
 // room for at least one task; a zone where none can be requested, or too few for a gang, counts only if all
 // tasks fit there. All requests for such a job have to go to the same zone, since the job can't use machines in several
 // zones.
-func (cycle *schedulingCycle) chooseZone(job *allocation.Job, forecast *capacityForecast) string {
+func (cycle *schedulingCycle) chooseZone(queued *queuedJob, forecast *capacityForecast) string {
+	job := queued.job
 	if !job.Spec.SingleZone {
 		return ""
 	}
@@ -20,10 +21,14 @@
 	if job.Spec.Zone != "" {
 		return job.Spec.Zone
 	}
+	preference := preferSpot
+	if cycle.countPastSpotWait(queued) > 0 {
+		preference = anyKind
+	}
 	bestZone, bestFit := "", -1
 	for _, zone := range cycle.scheduler.Zones {
 		fitCount := forecast.countFitting(job, zone)
-		canRequest := len(cycle.pricedPools(job, relaxed, zone, forecast)) > 0 && !(job.IsGang() && cycle.isInfeasible(job, zone))
+		canRequest := len(cycle.pricedPools(job, preference, zone, forecast)) > 0 && !(job.IsGang() && cycle.isInfeasible(job, zone))
 		if canRequest {
 			fitCount = max(fitCount, 1)
 		} else if fitCount < len(job.Tasks) {
@@ -43,8 +48,17 @@
 	costPerTask float64
 }
 
+// kindPreference is whether machines of any kind may be requested, or on-demand ones only of types that have no spot
+// machines.
+type kindPreference uint8
+
+const (
+	anyKind kindPreference = iota
+	preferSpot
+)
+
 // pricedPools lists the pools from which machines may be requested for a job now.
-func (cycle *schedulingCycle) pricedPools(job *allocation.Job, urgency urgency, requiredZone string, forecast *capacityForecast) []pricedPool {
+func (cycle *schedulingCycle) pricedPools(job *allocation.Job, preference kindPreference, requiredZone string, forecast *capacityForecast) []pricedPool {
 	var out []pricedPool
 	for typeName, machineType := range cycle.scheduler.MachineTypes {
 		tasksPerMachine := cycle.scheduler.tasksPerMachine(job.Request, typeName)
@@ -57,7 +71,8 @@
 			}
 			for _, spot := range []bool{true, false} {
 				pool := Pool{typeName, zone, spot}
-				if !isPoolAllowed(job, pool) || cycle.isBackingOff(pool) || cycle.isTooExpensive(job, urgency, pool) {
+				isTooExpensive := preference == preferSpot && !spot && machineType.SpotPrice > 0
+				if isTooExpensive || !isPoolAllowed(job, pool) || cycle.isBackingOff(pool) {
 					continue
 				}
 				price := machineType.OnDemandPrice
@@ -71,20 +86,6 @@
 	return out
 }
 
-// isTooExpensive reports whether a pool is an on-demand pool that a job should not use yet, because
-// the job may wait for a cheaper spot machine of the same type. Critical jobs do not wait.
-func (cycle *schedulingCycle) isTooExpensive(job *allocation.Job, urgency urgency, pool Pool) bool {
-	return !pool.Spot && cycle.scheduler.MachineTypes[pool.Type].SpotPrice > 0 && urgency != critical && cycle.mayWaitForSpot(job)
-}
-
-// mayWaitForSpot reports whether a job may wait for a spot machine. A job may wait until
-// SpotWaitTimeout has passed since this leader learned of the job, and at any time while tasks of the
-// job are active. A gang does not wait: all its machines would have to become available within that
-// time.
-func (cycle *schedulingCycle) mayWaitForSpot(job *allocation.Job) bool {
-	return job.Spec.AllowsSpot && !job.IsGang() && (job.ActiveCount() > 0 || cycle.now-job.AddedAt < cycle.scheduler.Settings.SpotWaitTimeout)
-}
-
 // cheapestPool picks the pool to request one more machine from for a job: the one with the lowest
 // price per task, then one in a zone that the job prefers, then the one with the fewest machines,
 // so that the loss of a pool affects few tasks. It returns nil if no pool is allowed.
--- a/internal/scheduler/scaleout.go
+++ b/internal/scheduler/scaleout.go
@@ -25,7 +25,7 @@
 	forecast := cycle.forecastCapacity(wanted, pendingScaleOuts)
 	var requestedPools []*poolForecast // in the order in which the queue first needs them
 	for _, queued := range wanted {
-		shortfall := jobShortfall{queued: queued, remaining: queued.unplaced, requiredZone: cycle.chooseZone(queued.job, forecast), tasksByZone: map[string]int{}}
+		shortfall := jobShortfall{queued: queued, remaining: queued.unplaced, requiredZone: cycle.chooseZone(queued, forecast), tasksByZone: map[string]int{}}
 		for zone, taskCount := range queued.reservedByZone {
 			shortfall.assignToZone(zone, taskCount)
 		}
@@ -87,15 +87,35 @@
 	shortfall.remaining -= taskCount
 }
 
-// requestMachines adds machines to the forecast until all tasks of the job have room. It stops early
-// if no pool is left, or if the cheapest one has reached the limit of one request; the next plan
-// requests the rest. It returns requestedPools with the pools appended that had no request before.
+// requestMachines adds machines to the forecast until all tasks of the job have room. Tasks that still wait for a spot
+// machine get no other one. It returns requestedPools with the pools appended that had no request before.
 func (cycle *schedulingCycle) requestMachines(shortfall *jobShortfall, forecast *capacityForecast, requestedPools []*poolForecast) []*poolForecast {
+	queued := shortfall.queued
+	waitingForSpot := max(shortfall.remaining-cycle.countPastSpotWait(queued), 0)
+	if waitingForSpot > 0 {
+		var hasPool bool
+		requestedPools, hasPool = cycle.requestFromPools(shortfall, cycle.pricedPools(queued.job, preferSpot, shortfall.requiredZone, forecast), forecast, requestedPools)
+		if hasPool || shortfall.remaining <= waitingForSpot {
+			return requestedPools
+		}
+	}
+	shortfall.remaining -= waitingForSpot
+	requestedPools, _ = cycle.requestFromPools(shortfall, cycle.pricedPools(queued.job, anyKind, shortfall.requiredZone, forecast), forecast, requestedPools)
+	shortfall.remaining += waitingForSpot
+	return requestedPools
+}
+
+// requestFromPools adds machines of some pools to the forecast until all tasks of the job have room. It stops early
+// if no pool is left, or if the cheapest one has reached the limit of one request; the next plan
+// requests the rest. It reports whether a pool was left, and returns requestedPools as requestMachines does.
+func (cycle *schedulingCycle) requestFromPools(shortfall *jobShortfall, candidatePools []pricedPool, forecast *capacityForecast, requestedPools []*poolForecast) (pools []*poolForecast, hasPool bool) {
 	job := shortfall.queued.job
-	candidatePools := cycle.pricedPools(job, shortfall.queued.urgency, shortfall.requiredZone, forecast)
 	for shortfall.remaining > 0 {
 		capacity := cycle.cheapestPool(job, candidatePools, func(zone string) bool { return shortfall.zoneAllowance(zone) > 0 })
-		if capacity == nil || capacity.requested >= wire.MaxScaleOutCount {
+		if capacity == nil {
+			return requestedPools, false
+		}
+		if capacity.requested >= wire.MaxScaleOutCount {
 			break
 		}
 		// The new machine is filled with tasks of this job before other jobs may use it.
@@ -110,7 +130,7 @@
 		}
 		capacity.requested++
 	}
-	return requestedPools
+	return requestedPools, true
 }
 
 // possiblyLostReplicas lists the services with production replicas that are on suspected machines or
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -14,8 +14,8 @@
 	// a large fleet. RelaxedIdleTimeout applies instead where users do not expect jobs to start
 	// sooner than a machine boots.
 	IdleTimeout, RelaxedIdleTimeout clock.Micros
-	// SpotWaitTimeout is how long a job that may use spot machines waits for one before an
-	// on-demand machine is requested for it. Some jobs wait longer, see mayWaitForSpot.
+	// SpotWaitTimeout is how long a task of a job that may use spot machines waits for one before an
+	// on-demand machine is requested for it. Tasks of arrays that run wait longer, see activeArraySpotWaitFactor.
 	SpotWaitTimeout clock.Micros
 	// AgingThreshold is how long a job waits for its first start before it goes before the other
 	// jobs of its priority. 0 disables aging.
