scaleout: a removed machine leaves the list of the view's record as it is

What could happen: a leader that leads again before its last write of a scale-out record came back from the watch restored a machine without a name, which cost a lease's time (found by reading, issue of the review).

Cause: Restore shares the list of machines with the view's record, and RemoveMachine changed it in place, which clears its end.

Change: RemoveMachine replaces the list.

Evidence: TestRemovalKeepsTheRecordOfTheView failed before: the view's list had become [i-2 i-3 ""].

--- a/internal/scaleout/request.go
+++ b/internal/scaleout/request.go
@@ -96,9 +96,9 @@
 }
 
 // RemoveMachine removes a deleted machine from the record. The caller has to write the record; see
-// ScheduleShrink.
+// ScheduleShrink. The list of machines is replaced, since the view's record or a caller of Machines may share it.
 func (request *Request) RemoveMachine(name string) {
-	request.record.Machines = slices.DeleteFunc(request.record.Machines, func(other string) bool { return other == name })
+	request.record.Machines = slices.DeleteFunc(slices.Clone(request.record.Machines), func(other string) bool { return other == name })
 }
 
 // ScheduleShrink records that a write has to remove deleted machines from the stored record. It reports
--- a/internal/scaleout/request_test.go
+++ b/internal/scaleout/request_test.go
@@ -161,3 +161,18 @@
 		}
 	}
 }
+
+// Guards against machines that lose their names in the view: the view's record shares its list with the request of a leader that
+// restored it, so a removal must not change that list.
+func TestRemovalKeepsTheRecordOfTheView(t *testing.T) {
+	inView := testRecord
+	inView.IsResolved, inView.Machines = true, []string{"i-1", "i-2", "i-3"}
+	request := Restore("a-9-1", inView, 10, 7)
+	request.RemoveMachine("i-1")
+	if !slices.Equal(request.Machines(), []string{"i-2", "i-3"}) {
+		t.Errorf("machines of the request: got %v, want i-2 and i-3", request.Machines())
+	}
+	if !slices.Equal(inView.Machines, []string{"i-1", "i-2", "i-3"}) {
+		t.Errorf("machines in the view's record: got %v, want all three as before", inView.Machines)
+	}
+}
