storeview: an archived job takes the version of its move to the archive

What could happen: a progress key that is written late, after its job's record was moved to the archive while the job was in the view, is never deleted.

Cause: the view kept the version of the deleted record, and the cleaner's deletion is conditional on the archived record's version.

Change: the deletion of a job's record is part of the move's transaction, so its revision is the archived record's version.

The same after a reload is left, see docs/ROADMAP.md.

--- a/internal/leader/cleanup_test.go
+++ b/internal/leader/cleanup_test.go
@@ -271,3 +271,32 @@
 		ID: id, Kind: wire.KindArray, Team: "t", TaskCount: 1, CPUs: 1, Priority: wire.PriorityLow, EstimatedRunSeconds: 10, DependsOn: dependencies,
 	}}, Version: 1}
 }
+
+// Guards against progress that is never deleted: it was written late, after its job's record was moved to the archive while the
+// job was in the view, which then had the version of the deleted record.
+func TestLateProgressOfArchivedJobIsDeleted(t *testing.T) {
+	fakeStore, term := newTermOnStore(t, cleanupLimits)
+	owner := ownerOf(term)
+	const id = "req-000001"
+	putAndSync(t, owner, map[string]any{records.JobKey(id): records.Job{SubmittedAt: 1, State: wire.JobDone, EndedAt: 2}})
+	page, err := owner.Store.ReadPage(records.JobPrefix, "", archivePageSize)
+	if err != nil || len(page.KeyValues) != 1 {
+		t.Fatalf("page of job records: got %+v, error %v, want one record", page, err)
+	}
+	archiver := &term.persistence.archive
+	archiver.move(page.KeyValues[0], records.ArchiveKey(id))
+	runUntil(t, owner, func() bool { return !archiver.isBusy() })
+	putAndSync(t, owner, map[string]any{records.ProgressKey(id, 0): records.Progress{}})
+	if job := owner.View.Jobs[id]; job == nil || !job.IsArchived {
+		t.Fatalf("job in the view: got %+v, want an archived one", job)
+	}
+	now := clock.Now()
+	runUntil(t, owner, func() bool {
+		now += 2 * sweepInterval
+		term.persistence.cleanup.tick(now)
+		return len(dependencyAndProgressKeys(fakeStore)) == 0
+	})
+	if archived := fakeStore.Value(records.ArchiveKey(id)); archived == "" {
+		t.Error("the archived record is gone, want it kept")
+	}
+}
--- a/internal/storeview/apply.go
+++ b/internal/storeview/apply.go
@@ -27,7 +27,7 @@
 		}
 		applied++
 		if event.DeleteKey != "" {
-			view.applyDelete(event.DeleteKey)
+			view.applyDelete(event.DeleteKey, event.Version)
 		} else {
 			view.ApplyPut(event.PutKey, event.Value, event.Version)
 		}
@@ -191,7 +191,7 @@
 
 // applyDelete removes what the view holds of a deleted key. It ignores keys that are never deleted and
 // keys whose deletion changes nothing in the view.
-func (view *View) applyDelete(key string) {
+func (view *View) applyDelete(key string, version uint64) {
 	switch {
 	case key == records.LockKey:
 		view.Lock = election.Lock{}
@@ -199,7 +199,8 @@
 		view.HasArchive = false
 	case strings.HasPrefix(key, records.JobPrefix):
 		if job := view.Jobs[strings.TrimPrefix(key, records.JobPrefix)]; job != nil {
-			job.IsArchived = true // a job's record is deleted only when it is moved to the archive
+			// A job's record is deleted only when it is moved to the archive, in the same transaction.
+			job.IsArchived, job.Version = true, version
 		}
 	case strings.HasPrefix(key, records.ProgressPrefix):
 		if id, number, ok := records.ParseProgressKey(key); ok {
