scheduler: idle machines of a gang are kept for a bounded time on the whole

Change: it begins anew only after an attempt that has failed by it. Then the next attempt begins after as long a time at the earliest.

Evidence: TestMachinesOfGangThatIsTooLargeAreReturned failed before.

--- a/internal/scheduler/gangretry.go
+++ b/internal/scheduler/gangretry.go
@@ -46,16 +46,24 @@
 func (scheduler *Scheduler) mayRetryGang(queued *queuedJob, now clock.Micros) bool {
 	attempt := scheduler.gangAttempt(queued.job)
 	if attempt.retryAt == 0 {
-		attempt.retryAt = now + gangRetryWait(queued.machinesNeeded, attempt.failures)
-		attempt.failures++
+		attempt.fail(now, gangRetryWait(queued.machinesNeeded, attempt.failures))
 	}
 	if now < attempt.retryAt {
 		return false
 	}
-	*attempt = gangAttempt{startedAt: now, failures: attempt.failures}
+	attempt.startedAt, attempt.retryAt = now, 0
+	if attempt.isHoldExpired {
+		attempt.holdsSince, attempt.isHoldExpired = 0, false
+	}
 	return true
 }
 
+// fail records that the attempt has failed, and when the next one begins.
+func (attempt *gangAttempt) fail(now, wait clock.Micros) {
+	attempt.retryAt = now + wait
+	attempt.failures++
+}
+
 // gangAttempt returns the attempt to get a gang's machines, and begins the first one if there is none.
 func (scheduler *Scheduler) gangAttempt(job *allocation.Job) *gangAttempt {
 	attempt := scheduler.gangAttempts[job]
@@ -69,7 +77,8 @@
 // holdIdleMachines keeps the idle machines on which a gang's tasks have room from being deleted, while the gang waits for
 // further machines. Without that, machines that came up at different times were returned one after the other, each
 // before the last one was up (docs/incidents/returned-before-the-last.md). After holdTimeout the attempt to get the
-// gang's machines has failed. It reports whether the attempt goes on, or the next one begins.
+// gang's machines has failed, and the next one begins after that time at the earliest, so that idle machines are paid for
+// about half of the time at most. It reports whether the attempt goes on, or the next one begins.
 func (cycle *schedulingCycle) holdIdleMachines(shortfall *jobShortfall) (isAttemptOpen bool) {
 	queued := shortfall.queued
 	attempt := cycle.scheduler.gangAttempt(queued.job)
@@ -84,9 +93,10 @@
 		attempt.holdsSince = cycle.now
 	}
 	for _, machine := range shortfall.idleMachines {
-		if cycle.now-attempt.holdsSince > cycle.holdTimeout(queued.job, machine.Type) {
+		if holdTimeout := cycle.holdTimeout(queued.job, machine.Type); cycle.now-attempt.holdsSince > holdTimeout {
 			attempt.isHoldExpired = true
-			return cycle.scheduler.mayRetryGang(queued, cycle.now)
+			attempt.fail(cycle.now, max(gangRetryWait(queued.machinesNeeded, attempt.failures), holdTimeout))
+			return false
 		}
 		cycle.heldForGang[machine.SortIndex] = true
 	}
--- a/internal/scheduler/scalein_test.go
+++ b/internal/scheduler/scalein_test.go
@@ -14,6 +14,7 @@
 type bootingFleet struct {
 	*schedulerFixture
 	bootTimes            []clock.Micros
+	capacity             int // the largest number of machines at a time, or 0 if there is no bound
 	upAt                 map[string]clock.Micros
 	requested, givenBack int
 }
@@ -31,7 +32,12 @@
 		fleet.tracker.RemoveMachine(machine, fleet.now)
 	}
 	for _, request := range decision.ScaleOut {
-		for range request.Count {
+		granted := request.Count
+		if fleet.capacity > 0 {
+			granted = min(granted, max(fleet.capacity-len(fleet.tracker.Machines), 0))
+		}
+		fleet.scheduler.ObserveScaleOutResult(request.Pool, request.Count, granted, fleet.now)
+		for range granted {
 			name := fmt.Sprintf("i-%04d", fleet.requested)
 			machine := fleet.tracker.AddMachine(name, request.Pool.Type, request.Pool.Zone, request.Pool.Spot, fleet.scheduler.MachineCapacity(request.Pool.Type), fleet.now)
 			machine.RecordedInStore = true
@@ -135,3 +141,32 @@
 		t.Errorf("got %d machines requested in %d s, want the gang's machines requested again", fleet.requested, seconds)
 	}
 }
+
+// The same for a cloud that has one machine too few for the gang: those that it grants are not kept idle without end.
+func TestMachinesOfGangThatIsTooLargeAreReturned(t *testing.T) {
+	fleet := newBootingFleet(newFixture(map[string]allocation.TeamQuota{"a": {}}), 10*clock.Second)
+	fleet.scheduler.SetMachineTypes([]wire.MachineType{{Name: "big", CPUs: 16, GPUs: 2, MemoryGB: 64, OnDemandPrice: 1, BootSeconds: 15, Zones: []string{"x"}}})
+	const taskCount, seconds = 3, 1800
+	fleet.capacity = taskCount - 1
+	gang := fleet.addJob(wire.Job{ID: "req-000001", Team: "a", Kind: wire.KindGang, TaskCount: taskCount, CPUs: 10, GPUs: 2, EstimatedRunSeconds: 600})
+	longestHold, heldFor, emptySeconds := 0, 0, 0
+	for range seconds {
+		fleet.second()
+		heldFor++
+		if len(fleet.tracker.Machines) == 0 {
+			heldFor = 0
+			emptySeconds++
+		}
+		longestHold = max(longestHold, heldFor)
+	}
+	if bound := 4 * int(gangHoldBoots*fleet.scheduler.BootTime("big", latestBootPercentile).Seconds()); longestHold > bound || emptySeconds < seconds/4 {
+		t.Errorf("a gang of %d in a cloud of %d machines: got machines for up to %d s on end and none for %d of %d s, want at most %d s and none for at least a quarter", taskCount, fleet.capacity, longestHold, emptySeconds, seconds, bound)
+	}
+	fleet.capacity = taskCount
+	for range 600 {
+		fleet.second()
+	}
+	if gang.ActiveCount() != taskCount {
+		t.Errorf("after the cloud has enough machines: got %d tasks placed, want %d", gang.ActiveCount(), taskCount)
+	}
+}
